--- /dev/null
+++ b/ospreybridge/policy.py
@@ -0,0 +1,447 @@
+"""All decisions of one call controller. Types, events and actions: ospreybridge/interface.py.
+
+A call goes direct while the own trunk group has its width free; else through the unmarked tandem whose
+first-leg group has most free circuits (in pools: the allowed pool with most free agents). A call with no
+route now waits within its time. Each exchange has a window of unanswered set-ups.
+"""
+
+from __future__ import annotations
+
+from random import Random
+
+from ospreybridge.interface import (
+    Action, CallClass, CallerLeft, Cancel, Discovery, Entry, Event, Fail, Follow, Layout, ListForm, Members,
+    Note, Outcome, Probed, Readiness, Refuse, Remark, Remind, Report, Request, Result, Send, Settings, Stands,
+    Timer, Semantics, Group,
+)
+
+MARK_AGE = 10_000.0  # ms a turn-back keeps (tandem, destination) marked; the design's own value
+SPARE_TICKS = 2.0  # ticks kept before a caller's time ends, so that the last answer is in time
+RESERVE = 0.1  # share of a group kept free of overflow, transit and second-rate calls (trunk reservation)
+WINDOW_START = 4.0  # unanswered set-ups towards an exchange nothing is known of
+WINDOW_TOP = 12.0  # most unanswered set-ups towards one exchange
+GOOD_DELAY = 0.3  # of the aim: a set-up answered within this widens the window
+BAD_DELAY = 0.6  # of the aim: one that took longer narrows it
+NARROW = 0.7  # factor on the window after a bad sign, at most once per set-up sent since the last
+PAUSE = 0.3  # of the aim: first pause before the next trial set-up once a window of one has failed too
+PAUSE_TOP = 2.0  # of the aim: longest such pause
+PATIENCE = 1.0  # of the aim left: time-out of an attempt that can still be on time
+COLD_MARGIN = 0.6  # of one server's part of the fail-back budget
+POLL = 0.04  # of the smallest aim: how often waiting calls are looked at when nothing happens
+DOUBTFUL = (Result.TIMEOUT, Result.RESET, Result.CANCELLED)
+NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT)
+POLL_LABEL = 1 << 40
+
+
+class Exchange:
+    """What is known of one exchange (or pool): its own-group circuits and how it answers set-ups."""
+
+    __slots__ = ("cell", "circuits", "free", "office", "pause", "pending", "resumes", "sent", "shrunk",
+                 "size", "started", "state", "window", "zone")
+
+    def __init__(self, entry: Entry) -> None:
+        self.office, self.cell, self.zone = entry.office, entry.cell, entry.zone
+        self.state, self.started = entry.readiness, entry.started
+        self.free: float | None = None
+        self.size: float | None = None
+        self.window = WINDOW_START
+        self.pending: dict[tuple[int, int], float] = {}  # unanswered set-ups and when each was sent
+        self.shrunk = 0.0  # answers to set-ups sent before this moment do not narrow the window again
+        self.pause, self.resumes = 0.0, 0.0
+        self.sent: list[float] = []
+
+
+class Call:
+    __slots__ = ("aim_at", "arrived", "attempts", "doubt", "expires", "kind", "over", "ready_at", "request",
+                 "group_end", "group_of", "sent_to", "stands", "turned", "worth")
+
+    def __init__(self, request: Request, kind: CallClass, now: float, over: bool) -> None:
+        self.request, self.kind, self.over, self.arrived = request, kind, over, now
+        self.expires, self.aim_at = request.expires, min(now + kind.on_time, request.expires)
+        self.attempts, self.turned = 0, 0
+        self.ready_at = now  # not to be sent before this (release)
+        self.sent_to: Exchange | None = None  # where its one attempt is out
+        self.stands = False
+        self.doubt = False  # an earlier attempt may have run
+        self.group_of: Exchange | None = None
+        self.group_end = 0.0
+
+
+class Controller:
+    def __init__(self, settings: Settings, seed: int) -> None:
+        check(settings)
+        self.s, self.random, self.out = settings, Random(seed), []
+        self.mesh = settings.layout is Layout.MESH
+        self.offices: dict[int, Exchange] = {}
+        self.calls: dict[int, Call] = {}
+        self.waiting: dict[int, Call] = {}
+        self.legs: dict[tuple[int, int], tuple[list[Exchange], float, int]] = {}
+        self.marks: dict[tuple[int, int], float] = {}
+        self.quota = [[tenant.quota_per_s / max(1, settings.peers), 0.0, 0.0] for tenant in settings.tenants]
+        self.aim = min(kind.on_time for kind in settings.classes)
+        self.recent: list[float] = []  # own sends of late, for what a warm exchange bears
+        self.asked = settings.discovery is not Discovery.SUBSCRIBE
+        self.polling = False
+        self.own_resumes = 0.0
+        self.out: list[Action] = []
+
+    def handle(self, now: float, event: Event) -> list[Action]:
+        self.out = []
+        if not self.asked:
+            self.asked = True
+            self.out.append(Follow(True))
+        match event:
+            case Request():
+                self._request(now, event)
+            case Stands():
+                self._stands(now, event)
+            case Outcome():
+                self._outcome(now, event)
+            case Probed():
+                self._circuits(event.office, event.report)
+            case Members():
+                self._members(now, event)
+            case CallerLeft():
+                self._left(event.ref)
+            case Timer():
+                self._timer(now, event.label)
+        self._dispatch(now)
+        return self.out
+
+    # -- the list of exchanges and their circuits
+
+    def _members(self, now: float, event: Members) -> None:
+        if event.form is ListForm.FAILED:
+            after = self.s.rules.ask_within * (0.1 + 0.2 * self.random.random())
+            self.out.append(Remind(POLL_LABEL + 1, after))
+            return
+        listed = {entry.office for entry in event.entries}
+        for entry in event.entries:
+            known = self.offices.get(entry.office)
+            if known is None:
+                self.offices[entry.office] = Exchange(entry)
+                continue
+            if entry.started != known.started and entry.readiness is Readiness.READY:
+                known.window, known.resumes, known.pause = WINDOW_START, 0.0, 0.0
+            known.state, known.started, known.cell = entry.readiness, entry.started, entry.cell
+        if event.form is not ListForm.DELTA:
+            for office, known in self.offices.items():
+                if office not in listed:
+                    known.state = Readiness.GONE
+        gone = [office for office, x in self.offices.items() if x.state is Readiness.GONE and not x.pending]
+        for office in gone:
+            del self.offices[office]
+
+    def _circuits(self, office: int, report: Report | None) -> None:
+        known = self.offices.get(office)
+        if known is not None and report is not None and report.free is not None:
+            known.free = report.free
+            if report.size is not None:
+                known.size = report.size
+
+    def _ready(self, cell: int) -> Exchange | None:
+        found = None
+        for known in self.offices.values():
+            if known.cell == cell and known.state is Readiness.READY:
+                found = known
+        return found
+
+    # -- calls come and go
+
+    def _request(self, now: float, request: Request) -> None:
+        if request.ref in self.calls or not 0 <= request.cls < len(self.s.classes):
+            return
+        call = Call(request, self.s.classes[request.cls], now, self._over_share(now, request))
+        self.calls[request.ref] = call
+        last = request.expires - SPARE_TICKS * self.s.tick
+        if request.transit:
+            if not self._transit(now, call):
+                self._end(now, call)
+        elif last <= now:
+            self._end(now, call)
+        else:
+            self.waiting[request.ref] = call
+            self.out.append(Remind(request.ref, last - now))
+
+    def _over_share(self, now: float, request: Request) -> bool:
+        """Own part of the tenant's quota, as a bucket of one second; a call beyond it is worth little."""
+        if request.transit or not 0 <= request.tenant < len(self.quota):
+            return False
+        bucket = self.quota[request.tenant]
+        rate, level, at = bucket
+        if rate <= 0:
+            return False
+        level = max(0.0, level - (now - at) / 1000.0 * rate)
+        over = level + 1 > max(2.0, 2.0 * rate)
+        bucket[1], bucket[2] = level if over else level + 1, now
+        return over
+
+    def _transit(self, now: float, call: Call) -> bool:
+        """A call in transit holds a circuit already: it goes on at once or is turned back, never held."""
+        dest = self._ready(call.request.dest)
+        if dest is None or not self._open(now, dest) or not self._room(dest, call, True):
+            return False
+        if any(other.request.dest == call.request.dest for other in self.waiting.values()):
+            return False
+        if call.expires - SPARE_TICKS * self.s.tick <= now:
+            return False
+        self._send(now, call, dest, [dest])
+        return True
+
+    def _end(self, now: float, call: Call) -> None:
+        ref = call.request.ref
+        self.calls.pop(ref, None)
+        self.waiting.pop(ref, None)
+        if call.doubt and not self._may_refuse(call):
+            self.out.append(Fail(ref))
+            return
+        self.out.append(Refuse(ref, 0.0))
+
+    def _may_refuse(self, call: Call) -> bool:
+        kind = call.kind
+        if kind.semantics is Semantics.FREE:
+            return True
+        return kind.semantics is Semantics.GUARDED and kind.group is Group.ALL
+
+    def _may_send(self, now: float, call: Call, to: Exchange) -> bool:
+        """Once an attempt may have run, classes with an effect bind where and when the next may go."""
+        if not call.doubt or call.kind.semantics is Semantics.FREE:
+            return True
+        if call.kind.semantics is Semantics.SINGLE_SHOT or now >= call.group_end or call.group_of is None:
+            return False
+        if call.kind.group is Group.ZONE:
+            return to.zone == call.group_of.zone
+        return call.kind.group is Group.ALL or to.cell == call.group_of.cell
+
+    def _left(self, ref: int) -> None:
+        call = self.calls.pop(ref, None)
+        self.waiting.pop(ref, None)
+        if call is not None and call.sent_to is not None and not call.stands and self.s.limits.cancel:
+            self.out.append(Cancel(ref, call.attempts - 1))
+
+    # -- routes
+
+    def _worth(self, now: float, call: Call) -> float:
+        kind = call.kind
+        worth = kind.importance / (call.request.width * max(1.0, kind.hold))
+        if call.over:
+            worth *= self.s.over_share_worth
+        if self._late(now, call):
+            worth *= kind.late_worth
+        return worth
+
+    def _late(self, now: float, call: Call) -> bool:
+        return now >= call.aim_at or (call.request.again and not call.request.cut)
+
+    def _open(self, now: float, to: Exchange) -> bool:
+        """Whether the window of unanswered set-ups has room; while cold also the fail-back budget."""
+        if now < to.resumes or len(to.pending) >= int(to.window):
+            return False
+        rules = self.s.rules
+        if to.started <= 0 or now - to.started >= rules.warm_after:
+            return True
+        self.recent = [at for at in self.recent if now - at < rules.warm_after]
+        usual = len(self.recent) * rules.overload_for / max(1.0, rules.warm_after) / max(1, len(self.offices))
+        budget = max(1, int(usual * rules.overload_factor * rules.cold_share * COLD_MARGIN))
+        to.sent = [at for at in to.sent if now - at < rules.overload_for]
+        return len(to.sent) < budget
+
+    def _room(self, to: Exchange, call: Call, spare: bool) -> bool:
+        if to.free is None:
+            return True
+        kept = max(1.0, RESERVE * (to.size or 0.0)) if spare else 0.0
+        return to.free >= call.request.width + kept
+
+    def _dispatch(self, now: float) -> None:
+        if not self.waiting or now < self.own_resumes:
+            self._poll()
+            return
+        queue = sorted(self.waiting.values(), key=lambda call: (not call.request.cut, -self._worth(now, call)))
+        short: dict[int, bool] = {}  # destinations for which a better call waits for circuits
+        for call in queue:
+            if now < call.ready_at:
+                continue
+            dest = self._ready(call.request.dest)
+            if call.attempts >= self.s.limits.most_tries:
+                self._end(now, call)
+                continue
+            if dest is None or not self._open(now, dest):
+                continue
+            second_rate = call.over or self._late(now, call)
+            if dest.cell not in short and self._room(dest, call, second_rate) and self._may_send(now, call, dest):
+                self._send(now, call, dest, [dest])
+                continue
+            short[dest.cell] = True
+            if second_rate or call.turned > 1:
+                continue
+            tandem = self._tandem(now, call, dest)
+            if tandem is not None:
+                self._send(now, call, tandem, [tandem, dest] if self.mesh else [tandem])
+        self._poll()
+
+    def _tandem(self, now: float, call: Call, dest: Exchange) -> Exchange | None:
+        best: list[Exchange] = []
+        most = -1.0
+        for x in self.offices.values():
+            if x.state is not Readiness.READY or x.cell in (dest.cell, self.s.here):
+                continue
+            if not self.mesh and x.cell not in call.kind.cells:
+                continue
+            if self.marks.get((x.cell, dest.cell), 0.0) > now or not self._open(now, x):
+                continue
+            if not self._room(x, call, True) or not self._may_send(now, call, x):
+                continue
+            free = x.free if x.free is not None else float("inf")
+            if free > most:
+                best, most = [], free
+            if free == most:
+                best.append(x)
+        return self.random.choice(best) if best else None
+
+    def _send(self, now: float, call: Call, to: Exchange, path: list[Exchange]) -> None:
+        ref = call.request.ref
+        self.waiting.pop(ref, None)
+        last = call.expires - SPARE_TICKS * self.s.tick
+        limit = last - now
+        if not call.request.transit and now < call.aim_at:
+            limit = min(limit, PATIENCE * (call.aim_at - now))
+        leg = (ref, call.attempts)
+        self.legs[leg] = (path, now, call.request.dest)
+        for x in path:
+            x.pending[leg] = now
+            x.sent.append(now)
+        self.recent.append(now)
+        if to.free is not None:
+            to.free -= call.request.width
+        if call.group_of is None:
+            call.group_of, call.group_end = to, now + call.kind.window
+        call.attempts += 1
+        call.sent_to = to
+        self.out.append(Send(ref, to.office, max(1.0, limit)))
+
+    # -- answers
+
+    def _stands(self, now: float, event: Stands) -> None:
+        leg = self.legs.get((event.ref, event.attempt))
+        if leg is None:
+            return
+        path, _, dest = leg
+        call = self.calls.get(event.ref)
+        aim = call.kind.on_time if call is not None else self.aim
+        for x in path:
+            self._answered(now, x, (event.ref, event.attempt), event.took, aim)
+        if len(path) > 1:
+            self.marks.pop((path[0].cell, dest), None)
+        if call is not None:
+            call.stands = True
+
+    def _answered(self, now: float, x: Exchange, leg: tuple[int, int], took: float, aim: float) -> None:
+        sent = x.pending.pop(leg, None)
+        if sent is None:
+            return
+        x.pause = 0.0
+        if took <= GOOD_DELAY * aim:
+            x.window = min(WINDOW_TOP, x.window + 1.0 / x.window)
+        elif took > BAD_DELAY * aim:
+            self._narrow(now, x, sent)
+
+    def _narrow(self, now: float, x: Exchange, sent: float) -> None:
+        if sent >= x.shrunk:
+            x.window, x.shrunk = max(1.0, x.window * NARROW), now
+
+    def _silent(self, now: float, x: Exchange, sent: float, wait: float) -> None:
+        """No answer, or no room: the window narrows, and at one each further miss lengthens the pause."""
+        if x.window <= 1.0:
+            x.pause = min(PAUSE_TOP * self.aim, max(PAUSE * self.aim, 2 * x.pause))
+            x.resumes = now + x.pause
+        self._narrow(now, x, sent)
+        x.resumes = max(x.resumes, now + wait)
+
+    def _outcome(self, now: float, event: Outcome) -> None:
+        self._circuits(event.office, event.report)
+        key = (event.ref, event.attempt)
+        leg = self.legs.pop(key, None)
+        if leg is None:
+            return
+        path, sent, dest = leg
+        stood = key not in path[0].pending
+        for x in path:
+            x.pending.pop(key, None)
+        result, note = event.result, event.note
+        own_down = result is Result.MOOT and note is Note.PROCESSOR_FULL
+        if result in (Result.TIMEOUT, Result.CONNECT_FAILED) and not stood:
+            for x in path:
+                self._silent(now, x, sent, 0.0)
+        elif result is Result.FULL and note is Note.PROCESSOR_FULL:
+            self._silent(now, path[0], sent, max(event.wait, PAUSE * self.aim))
+        elif result is Result.FULL and note is Note.TURNED_BACK:
+            if event.wait > 0:
+                self._silent(now, path[-1], sent, PAUSE * self.aim)
+            elif len(path) > 1:
+                self.marks[(path[0].cell, dest)] = now + MARK_AGE
+        elif own_down:
+            self.own_resumes = now + max(event.wait, PAUSE * self.aim)
+        call = self.calls.get(event.ref)
+        if call is None or call.attempts - 1 != event.attempt:
+            return
+        call.sent_to = None
+        if event.ended or stood:
+            self.calls.pop(event.ref, None)
+            return
+        if result not in NEVER_RAN:
+            call.doubt = True
+        if result is Result.FULL and note is Note.TURNED_BACK:
+            call.turned += 1
+        if call.request.transit or result is Result.ERROR:
+            self._end(now, call)
+            return
+        call.ready_at = now
+        if result in DOUBTFUL:
+            call.ready_at = now + self.s.rules.release + self.s.tick
+        last = call.expires - SPARE_TICKS * self.s.tick
+        if call.ready_at >= last or call.attempts >= self.s.limits.most_tries:
+            self._end(now, call)
+            return
+        self.waiting[event.ref] = call
+
+    # -- time
+
+    def _poll(self) -> None:
+        if self.waiting and not self.polling:
+            self.polling = True
+            self.out.append(Remind(POLL_LABEL, max(self.s.tick, POLL * self.aim)))
+
+    def _timer(self, now: float, label: int) -> None:
+        if label == POLL_LABEL:
+            self.polling = False
+            return
+        if label == POLL_LABEL + 1:
+            self.out.append(Follow(True))
+            return
+        call = self.calls.get(label)
+        if call is None or call.stands:
+            return
+        if label in self.waiting:
+            self._end(now, call)
+
+
+def check(settings: Settings) -> None:
+    """Settings that make no sense are refused by the name of their key."""
+    if not settings.classes:
+        raise ValueError("Classes: none given")
+    for number, kind in enumerate(settings.classes):
+        for name, value in (("OnTime", kind.on_time), ("Deadline", kind.deadline)):
+            if value <= 0:
+                raise ValueError(f"Classes.{number}.{name}: {value}")
+        if kind.width <= 0:
+            raise ValueError(f"FamilyInfo.ClassWidth: {kind.width}")
+        if kind.hold < 0 or kind.window < 0:
+            raise ValueError(f"Classes.{number}: a negative time")
+    rules = settings.rules
+    for name, value in (
+        ("FamilyInfo.Guard", rules.release), ("Rules.WarmAfter", rules.warm_after), ("Round", settings.tick),
+        ("Rules.OverloadFor", rules.overload_for), ("Rules.DrainGrace", rules.drain_grace),
+        ("Rules.AskWithin", rules.ask_within), ("Rules.GraceToAnswer", rules.grace_to_answer),
+    ):
+        if value < 0:
+            raise ValueError(f"{name}: {value} is negative")
