Stray calls to the own exchange go back at once

Cause: while a call server is down or not yet started, calls to its exchange's subscribers are handed to others, so a call may be for the very exchange it is handed to; sending it there is a fault.

--- a/ospreybridge/policy.py
+++ b/ospreybridge/policy.py
@@ -11,7 +11,7 @@
 
 from ospreybridge.interface import (
     Action, CallClass, CallerLeft, Cancel, Discovery, Entry, Event, Fail, Follow, Layout, ListForm, Members,
-    Note, Outcome, Probed, Readiness, Refuse, Remark, Remind, Report, Request, Result, Send, Settings, Stands,
+    Note, Outcome, Probed, Readiness, Refuse, Remind, Report, Request, Result, Send, Settings, Stands,
     Timer, Semantics, Group,
 )
 
@@ -70,7 +70,7 @@
 class Controller:
     def __init__(self, settings: Settings, seed: int) -> None:
         check(settings)
-        self.s, self.random, self.out = settings, Random(seed), []
+        self.s, self.random = settings, Random(seed)
         self.mesh = settings.layout is Layout.MESH
         self.offices: dict[int, Exchange] = {}
         self.calls: dict[int, Call] = {}
@@ -157,7 +157,9 @@
         if request.transit:
             if not self._transit(now, call):
                 self._end(now, call)
-        elif last <= now:
+        elif last <= now or request.dest == self.s.here:
+            # A call to the own exchange, handed over while another call server was down, has no route: it
+            # goes back to its caller at once. Guards against any such stray call; costs nothing elsewhere.
             self._end(now, call)
         else:
             self.waiting[request.ref] = call
