Tenants weighed by the mix of their traffic, in the order of waiting calls only

Cause: streams differ between exchanges, so a per-server part of the fleet's quota took every call of a busy exchange for over-share and kept it from tandems. The mix of tenants is the only thing one server sees.

--- a/ospreybridge/policy.py
+++ b/ospreybridge/policy.py
@@ -27,6 +27,7 @@
 PAUSE_TOP = 2.0  # of the aim: longest such pause
 PATIENCE = 1.0  # of the aim left: time-out of an attempt that can still be on time
 COLD_MARGIN = 0.6  # of one server's part of the fail-back budget
+MIX_AGE = 10_000.0  # ms half-life of the tenants' mix, long enough for dozens of calls
 POLL = 0.04  # of the smallest aim: how often waiting calls are looked at when nothing happens
 DOUBTFUL = (Result.TIMEOUT, Result.RESET, Result.CANCELLED)
 NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT)
@@ -52,11 +53,11 @@
 
 
 class Call:
-    __slots__ = ("aim_at", "arrived", "attempts", "doubt", "expires", "kind", "over", "ready_at", "request",
+    __slots__ = ("aim_at", "arrived", "attempts", "doubt", "expires", "kind", "part", "ready_at", "request",
                  "group_end", "group_of", "sent_to", "stands", "turned", "worth")
 
-    def __init__(self, request: Request, kind: CallClass, now: float, over: bool) -> None:
-        self.request, self.kind, self.over, self.arrived = request, kind, over, now
+    def __init__(self, request: Request, kind: CallClass, now: float) -> None:
+        self.request, self.kind, self.arrived, self.part = request, kind, now, 1.0
         self.expires, self.aim_at = request.expires, min(now + kind.on_time, request.expires)
         self.attempts, self.turned = 0, 0
         self.ready_at = now  # not to be sent before this (release)
@@ -77,7 +78,7 @@
         self.waiting: dict[int, Call] = {}
         self.legs: dict[tuple[int, int], tuple[list[Exchange], float, int]] = {}
         self.marks: dict[tuple[int, int], float] = {}
-        self.quota = [[tenant.quota_per_s / max(1, settings.peers), 0.0, 0.0] for tenant in settings.tenants]
+        self.seen, self.seen_at = [0.0 for _ in settings.tenants], 0.0
         self.aim = min(kind.on_time for kind in settings.classes)
         self.recent: list[float] = []  # own sends of late, for what a warm exchange bears
         self.asked = settings.discovery is not Discovery.SUBSCRIBE
@@ -151,7 +152,8 @@
     def _request(self, now: float, request: Request) -> None:
         if request.ref in self.calls or not 0 <= request.cls < len(self.s.classes):
             return
-        call = Call(request, self.s.classes[request.cls], now, self._over_share(now, request))
+        call = Call(request, self.s.classes[request.cls], now)
+        call.part = self._tenant_part(now, request)
         self.calls[request.ref] = call
         last = request.expires - SPARE_TICKS * self.s.tick
         if request.transit:
@@ -165,18 +167,20 @@
             self.waiting[request.ref] = call
             self.out.append(Remind(request.ref, last - now))
 
-    def _over_share(self, now: float, request: Request) -> bool:
-        """Own part of the tenant's quota, as a bucket of one second; a call beyond it is worth little."""
-        if request.transit or not 0 <= request.tenant < len(self.quota):
-            return False
-        bucket = self.quota[request.tenant]
-        rate, level, at = bucket
-        if rate <= 0:
-            return False
-        level = max(0.0, level - (now - at) / 1000.0 * rate)
-        over = level + 1 > max(2.0, 2.0 * rate)
-        bucket[1], bucket[2] = level if over else level + 1, now
-        return over
+    def _tenant_part(self, now: float, request: Request) -> float:
+        """Worth of a tenant's call: the part of its recent own-exchange traffic that its quota covers.
+
+        One server cannot see the fleet's traffic, only the mix; shares of the mix are held against the quotas.
+        """
+        if request.transit or not 0 <= request.tenant < len(self.seen):
+            return 1.0
+        fade = 0.5 ** ((now - self.seen_at) / MIX_AGE)
+        self.seen_at, self.seen = now, [count * fade for count in self.seen]
+        self.seen[request.tenant] += 1.0
+        quotas = [tenant.quota_per_s or tenant.share for tenant in self.s.tenants]
+        due = sum(self.seen) * quotas[request.tenant] / max(sum(quotas), 1e-9)
+        covered = min(1.0, due / self.seen[request.tenant])
+        return covered + (1.0 - covered) * self.s.over_share_worth
 
     def _transit(self, now: float, call: Call) -> bool:
         """A call in transit holds a circuit already: it goes on at once or is turned back, never held."""
@@ -225,9 +229,7 @@
 
     def _worth(self, now: float, call: Call) -> float:
         kind = call.kind
-        worth = kind.importance / (call.request.width * max(1.0, kind.hold))
-        if call.over:
-            worth *= self.s.over_share_worth
+        worth = call.part * kind.importance / (call.request.width * max(1.0, kind.hold))
         if self._late(now, call):
             worth *= kind.late_worth
         return worth
@@ -269,7 +271,7 @@
                 continue
             if dest is None or not self._open(now, dest):
                 continue
-            second_rate = call.over or self._late(now, call)
+            second_rate = self._late(now, call)
             if dest.cell not in short and self._room(dest, call, second_rate) and self._may_send(now, call, dest):
                 self._send(now, call, dest, [dest])
                 continue
