Redials are known by the number called and judged by their first try

Cause: an unmarked redial looked like a new call although its aim had passed, and took circuits from calls in time.

--- a/ospreybridge/policy.py
+++ b/ospreybridge/policy.py
@@ -53,12 +53,13 @@
 
 
 class Call:
-    __slots__ = ("aim_at", "arrived", "attempts", "doubt", "expires", "kind", "part", "ready_at", "request",
+    __slots__ = ("aim_at", "arrived", "attempts", "doubt", "expires", "first", "kind", "part", "ready_at", "request",
                  "group_end", "group_of", "sent_to", "stands", "turned", "worth")
 
     def __init__(self, request: Request, kind: CallClass, now: float) -> None:
         self.request, self.kind, self.arrived, self.part = request, kind, now, 1.0
-        self.expires, self.aim_at = request.expires, min(now + kind.on_time, request.expires)
+        self.expires, self.first = request.expires, now
+        self.aim_at = min(now + kind.on_time, request.expires)
         self.attempts, self.turned = 0, 0
         self.ready_at = now  # not to be sent before this (release)
         self.sent_to: Exchange | None = None  # where its one attempt is out
@@ -77,6 +78,7 @@
         self.calls: dict[int, Call] = {}
         self.waiting: dict[int, Call] = {}
         self.legs: dict[tuple[int, int], tuple[list[Exchange], float, int]] = {}
+        self.unserved: dict[tuple[int, int, int], float] = {}  # number called, and when its caller first tried
         self.marks: dict[tuple[int, int], float] = {}
         self.seen, self.seen_at = [0.0 for _ in settings.tenants], 0.0
         self.aim = min(kind.on_time for kind in settings.classes)
@@ -103,7 +105,7 @@
             case Members():
                 self._members(now, event)
             case CallerLeft():
-                self._left(event.ref)
+                self._left(now, event.ref)
             case Timer():
                 self._timer(now, event.label)
         self._dispatch(now)
@@ -154,6 +156,7 @@
             return
         call = Call(request, self.s.classes[request.cls], now)
         call.part = self._tenant_part(now, request)
+        self._redial(now, call)
         self.calls[request.ref] = call
         last = request.expires - SPARE_TICKS * self.s.tick
         if request.transit:
@@ -167,6 +170,26 @@
             self.waiting[request.ref] = call
             self.out.append(Remind(request.ref, last - now))
 
+    def _redial(self, now: float, call: Call) -> None:
+        """A caller that dials again is judged by its first try, marked or not: the aim ran on meanwhile."""
+        request = call.request
+        if request.transit or request.cut or (self.s.marks_retry and not request.again):
+            return
+        first = self.unserved.pop((request.number, request.dest, request.cls), None)
+        if first is None and request.again:
+            first = now - call.kind.on_time
+        if first is not None and now - first < call.kind.deadline:
+            call.first, call.aim_at = first, min(first + call.kind.on_time, request.expires)
+
+    def _unserved(self, now: float, call: Call) -> None:
+        request = call.request
+        if request.transit or request.number == 0:
+            return
+        self.unserved[(request.number, request.dest, request.cls)] = call.first
+        oldest = next(iter(self.unserved))
+        if now - self.unserved[oldest] > call.kind.deadline:
+            del self.unserved[oldest]
+
     def _tenant_part(self, now: float, request: Request) -> float:
         """Worth of a tenant's call: the part of its recent own-exchange traffic that its quota covers.
 
@@ -198,6 +221,7 @@
         ref = call.request.ref
         self.calls.pop(ref, None)
         self.waiting.pop(ref, None)
+        self._unserved(now, call)
         if call.doubt and not self._may_refuse(call):
             self.out.append(Fail(ref))
             return
@@ -219,10 +243,13 @@
             return to.zone == call.group_of.zone
         return call.kind.group is Group.ALL or to.cell == call.group_of.cell
 
-    def _left(self, ref: int) -> None:
+    def _left(self, now: float, ref: int) -> None:
         call = self.calls.pop(ref, None)
         self.waiting.pop(ref, None)
-        if call is not None and call.sent_to is not None and not call.stands and self.s.limits.cancel:
+        if call is None or call.stands:
+            return
+        self._unserved(now, call)
+        if call.sent_to is not None and self.s.limits.cancel:
             self.out.append(Cancel(ref, call.attempts - 1))
 
     # -- routes
@@ -235,7 +262,7 @@
         return worth
 
     def _late(self, now: float, call: Call) -> bool:
-        return now >= call.aim_at or (call.request.again and not call.request.cut)
+        return now >= call.aim_at
 
     def _open(self, now: float, to: Exchange) -> bool:
         """Whether the window of unanswered set-ups has room; while cold also the fail-back budget."""
