--- a/ospreybridge/policy.py
+++ b/ospreybridge/policy.py
@@ -10,9 +10,9 @@
 from random import Random
 
 from ospreybridge.interface import (
-    Action, CallClass, CallerLeft, Cancel, Discovery, Entry, Event, Fail, Follow, Layout, ListForm, Members,
-    Note, Outcome, Probed, Readiness, Refuse, Remind, Report, Request, Result, Send, Settings, Stands,
-    Timer, Semantics, Group,
+    Action, CallClass, CallerLeft, Cancel, Discovery, Entry, Event, Fail, Follow, Group, Layout, ListForm,
+    Members, Note, Outcome, Probed, Readiness, Refuse, Remind, Report, Request, Result, Semantics, Send,
+    Settings, Stands, Timer,
 )
 
 MARK_AGE = 10_000.0  # ms a turn-back keeps (tandem, destination) marked; the design's own value
@@ -37,9 +37,6 @@
 class Exchange:
     """What is known of one exchange (or pool): its own-group circuits and how it answers set-ups."""
 
-    __slots__ = ("cell", "circuits", "free", "office", "pause", "pending", "resumes", "sent", "shrunk",
-                 "size", "started", "state", "window", "zone")
-
     def __init__(self, entry: Entry) -> None:
         self.office, self.cell, self.zone = entry.office, entry.cell, entry.zone
         self.state, self.started = entry.readiness, entry.started
@@ -53,11 +50,10 @@
 
 
 class Call:
-    __slots__ = ("aim_at", "arrived", "attempts", "doubt", "expires", "first", "kind", "part", "ready_at", "request",
-                 "group_end", "group_of", "sent_to", "stands", "turned", "worth")
+    """One call this server owes an answer, from its arrival until it stands or ends."""
 
     def __init__(self, request: Request, kind: CallClass, now: float) -> None:
-        self.request, self.kind, self.arrived, self.part = request, kind, now, 1.0
+        self.request, self.kind, self.part = request, kind, 1.0
         self.expires, self.first = request.expires, now
         self.aim_at = min(now + kind.on_time, request.expires)
         self.attempts, self.turned = 0, 0
@@ -78,7 +74,7 @@
         self.calls: dict[int, Call] = {}
         self.waiting: dict[int, Call] = {}
         self.legs: dict[tuple[int, int], tuple[list[Exchange], float, int]] = {}
-        self.unserved: dict[tuple[int, int, int], float] = {}  # number called, and when its caller first tried
+        self.unserved: dict[tuple[int, int, int], float] = {}  # number called: when its caller first tried
         self.marks: dict[tuple[int, int], float] = {}
         self.seen, self.seen_at = [0.0 for _ in settings.tenants], 0.0
         self.aim = min(kind.on_time for kind in settings.classes)
@@ -93,21 +89,20 @@
         if not self.asked:
             self.asked = True
             self.out.append(Follow(True))
-        match event:
-            case Request():
-                self._request(now, event)
-            case Stands():
-                self._stands(now, event)
-            case Outcome():
-                self._outcome(now, event)
-            case Probed():
-                self._circuits(event.office, event.report)
-            case Members():
-                self._members(now, event)
-            case CallerLeft():
-                self._left(now, event.ref)
-            case Timer():
-                self._timer(now, event.label)
+        if isinstance(event, Request):
+            self._request(now, event)
+        elif isinstance(event, Stands):
+            self._stands(now, event)
+        elif isinstance(event, Outcome):
+            self._outcome(now, event)
+        elif isinstance(event, Probed):
+            self._circuits(event.office, event.report)
+        elif isinstance(event, Members):
+            self._members(now, event)
+        elif isinstance(event, CallerLeft):
+            self._left(now, event.ref)
+        elif isinstance(event, Timer):
+            self._timer(now, event.label)
         self._dispatch(now)
         return self.out
 
@@ -122,18 +117,15 @@
         for entry in event.entries:
             known = self.offices.get(entry.office)
             if known is None:
-                self.offices[entry.office] = Exchange(entry)
-                continue
-            if entry.started != known.started and entry.readiness is Readiness.READY:
+                known = self.offices[entry.office] = Exchange(entry)
+            elif entry.started != known.started and entry.readiness is Readiness.READY:
                 known.window, known.resumes, known.pause = WINDOW_START, 0.0, 0.0
             known.state, known.started, known.cell = entry.readiness, entry.started, entry.cell
         if event.form is not ListForm.DELTA:
             for office, known in self.offices.items():
                 if office not in listed:
                     known.state = Readiness.GONE
-        gone = [office for office, x in self.offices.items() if x.state is Readiness.GONE and not x.pending]
-        for office in gone:
-            del self.offices[office]
+        self.offices = {office: x for office, x in self.offices.items() if x.state is not Readiness.GONE}
 
     def _circuits(self, office: int, report: Report | None) -> None:
         known = self.offices.get(office)
@@ -143,30 +135,25 @@
                 known.size = report.size
 
     def _ready(self, cell: int) -> Exchange | None:
-        found = None
-        for known in self.offices.values():
-            if known.cell == cell and known.state is Readiness.READY:
-                found = known
-        return found
+        found = [x for x in self.offices.values() if x.cell == cell and x.state is Readiness.READY]
+        return found[-1] if found else None
 
     # -- calls come and go
 
     def _request(self, now: float, request: Request) -> None:
-        if request.ref in self.calls or not 0 <= request.cls < len(self.s.classes):
+        if request.ref in self.calls:
             return
         call = Call(request, self.s.classes[request.cls], now)
         call.part = self._tenant_part(now, request)
         self._redial(now, call)
         self.calls[request.ref] = call
         last = request.expires - SPARE_TICKS * self.s.tick
-        if request.transit:
-            if not self._transit(now, call):
-                self._end(now, call)
-        elif last <= now or request.dest == self.s.here:
-            # A call to the own exchange, handed over while another call server was down, has no route: it
-            # goes back to its caller at once. Guards against any such stray call; costs nothing elsewhere.
+        # A call to the own exchange, handed over while another call server was down, has no route: it
+        # goes back to its caller at once. Guards against any such stray call; costs nothing elsewhere.
+        stray = last <= now or request.dest == self.s.here
+        if stray or (request.transit and not self._transit(now, call)):
             self._end(now, call)
-        else:
+        elif not request.transit:
             self.waiting[request.ref] = call
             self.out.append(Remind(request.ref, last - now))
 
@@ -191,14 +178,14 @@
             del self.unserved[oldest]
 
     def _tenant_part(self, now: float, request: Request) -> float:
-        """Worth of a tenant's call: the part of its recent own-exchange traffic that its quota covers.
+        """Worth of a tenant's call: the part of its traffic here that its quota covers.
 
-        One server cannot see the fleet's traffic, only the mix; shares of the mix are held against the quotas.
+        One server cannot see the fleet's traffic; the mix of what it sees is held against the quotas.
         """
         if request.transit or not 0 <= request.tenant < len(self.seen):
             return 1.0
         fade = 0.5 ** ((now - self.seen_at) / MIX_AGE)
-        self.seen_at, self.seen = now, [count * fade for count in self.seen]
+        self.seen, self.seen_at = [count * fade for count in self.seen], now
         self.seen[request.tenant] += 1.0
         quotas = [tenant.quota_per_s or tenant.share for tenant in self.s.tenants]
         due = sum(self.seen) * quotas[request.tenant] / max(sum(quotas), 1e-9)
@@ -212,8 +199,6 @@
             return False
         if any(other.request.dest == call.request.dest for other in self.waiting.values()):
             return False
-        if call.expires - SPARE_TICKS * self.s.tick <= now:
-            return False
         self._send(now, call, dest, [dest])
         return True
 
@@ -222,16 +207,10 @@
         self.calls.pop(ref, None)
         self.waiting.pop(ref, None)
         self._unserved(now, call)
-        if call.doubt and not self._may_refuse(call):
-            self.out.append(Fail(ref))
-            return
-        self.out.append(Refuse(ref, 0.0))
-
-    def _may_refuse(self, call: Call) -> bool:
         kind = call.kind
-        if kind.semantics is Semantics.FREE:
-            return True
-        return kind.semantics is Semantics.GUARDED and kind.group is Group.ALL
+        guarded_by_all = kind.semantics is Semantics.GUARDED and kind.group is Group.ALL
+        harmless = not call.doubt or kind.semantics is Semantics.FREE or guarded_by_all
+        self.out.append(Refuse(ref) if harmless else Fail(ref))
 
     def _may_send(self, now: float, call: Call, to: Exchange) -> bool:
         """Once an attempt may have run, classes with an effect bind where and when the next may go."""
@@ -287,7 +266,7 @@
         if not self.waiting or now < self.own_resumes:
             self._poll()
             return
-        queue = sorted(self.waiting.values(), key=lambda call: (not call.request.cut, -self._worth(now, call)))
+        queue = sorted(self.waiting.values(), key=lambda c: (not c.request.cut, -self._worth(now, c)))
         short: dict[int, bool] = {}  # destinations for which a better call waits for circuits
         for call in queue:
             if now < call.ready_at:
@@ -298,8 +277,8 @@
                 continue
             if dest is None or not self._open(now, dest):
                 continue
-            second_rate = self._late(now, call)
-            if dest.cell not in short and self._room(dest, call, second_rate) and self._may_send(now, call, dest):
+            second_rate, held_up = self._late(now, call), dest.cell in short
+            if not held_up and self._room(dest, call, second_rate) and self._may_send(now, call, dest):
                 self._send(now, call, dest, [dest])
                 continue
             short[dest.cell] = True
@@ -367,10 +346,7 @@
             call.stands = True
 
     def _answered(self, now: float, x: Exchange, leg: tuple[int, int], took: float, aim: float) -> None:
-        sent = x.pending.pop(leg, None)
-        if sent is None:
-            return
-        x.pause = 0.0
+        sent, x.pause = x.pending.pop(leg, now), 0.0
         if took <= GOOD_DELAY * aim:
             x.window = min(WINDOW_TOP, x.window + 1.0 / x.window)
         elif took > BAD_DELAY * aim:
@@ -449,30 +425,23 @@
         if label == POLL_LABEL + 1:
             self.out.append(Follow(True))
             return
-        call = self.calls.get(label)
-        if call is None or call.stands:
-            return
         if label in self.waiting:
-            self._end(now, call)
+            self._end(now, self.waiting[label])
 
 
 def check(settings: Settings) -> None:
     """Settings that make no sense are refused by the name of their key."""
-    if not settings.classes:
-        raise ValueError("Classes: none given")
-    for number, kind in enumerate(settings.classes):
-        for name, value in (("OnTime", kind.on_time), ("Deadline", kind.deadline)):
-            if value <= 0:
-                raise ValueError(f"Classes.{number}.{name}: {value}")
-        if kind.width <= 0:
-            raise ValueError(f"FamilyInfo.ClassWidth: {kind.width}")
-        if kind.hold < 0 or kind.window < 0:
-            raise ValueError(f"Classes.{number}: a negative time")
     rules = settings.rules
-    for name, value in (
+    times = [
         ("FamilyInfo.Guard", rules.release), ("Rules.WarmAfter", rules.warm_after), ("Round", settings.tick),
         ("Rules.OverloadFor", rules.overload_for), ("Rules.DrainGrace", rules.drain_grace),
         ("Rules.AskWithin", rules.ask_within), ("Rules.GraceToAnswer", rules.grace_to_answer),
-    ):
-        if value < 0:
-            raise ValueError(f"{name}: {value} is negative")
+    ]
+    needed = [("Classes.count", float(len(settings.classes)))]
+    for number, kind in enumerate(settings.classes):
+        key = f"Classes.{number}."
+        needed += [(key + "OnTime", kind.on_time), (key + "Deadline", kind.deadline)]
+        times += [(key + "hold", kind.hold), (key + "Window", kind.window)]
+    wrong = [item for item in times if item[1] < 0] + [item for item in needed if item[1] <= 0]
+    if wrong:
+        raise ValueError(f"{wrong[0][0]}: {wrong[0][1]} makes no sense")
--- /dev/null
+++ b/tests/test_routes.py
@@ -0,0 +1,212 @@
+"""The ordinary path: direct, tandem, marks, transit, waiting; and the exceptions' own small tests."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from ospreybridge import Controller
+from ospreybridge import interface as i
+from tests.helpers import CLASS, NOTHING, SETTINGS, Rig, only, sent_to
+
+
+def test_direct_while_the_group_has_the_width() -> None:
+    rig = Rig()
+    rig.groups(c1=1, c2=20, c3=20, c4=20)
+    assert sent_to(rig.call(dest=1)) == [1]
+
+
+def test_unknown_groups_count_as_open() -> None:
+    assert sent_to(Rig().call(dest=3)) == [3]
+
+
+def test_overflow_takes_the_tandem_with_most_free_circuits() -> None:
+    rig = Rig()
+    rig.groups(c1=0, c2=9, c3=15, c4=12)
+    assert sent_to(rig.call(dest=1)) == [3]
+
+
+def test_ties_are_broken_by_the_seed_alone() -> None:
+    picks = set()
+    for seed in range(20):
+        pair = []
+        for _ in range(2):
+            rig = Rig(seed=seed)
+            rig.groups(c1=0, c2=15, c3=15, c4=15)
+            pair.append(sent_to(rig.call(dest=1)))
+        assert pair[0] == pair[1]
+        picks.add(pair[0][0])
+    assert picks == {2, 3, 4}
+
+
+def test_wide_calls_need_their_width() -> None:
+    rig = Rig()
+    rig.groups(c1=1, c2=20, c3=0, c4=0)
+    assert sent_to(rig.call(dest=1, width=2.0)) == [2]
+
+
+def test_a_turn_back_marks_and_one_more_tandem_is_tried() -> None:
+    rig = Rig()
+    rig.groups(c1=0, c2=9, c3=15, c4=12)
+    rig.call(dest=1)
+    assert sent_to(rig.ends(1, 0, 3, i.Result.FULL, i.Note.TURNED_BACK)) == [4]
+    rig.circuits(3, 15)
+    assert sent_to(rig.call(ref=2, dest=1)) == [4], "the mark holds for the next call"
+    assert sent_to(rig.ends(1, 1, 4, i.Result.FULL, i.Note.TURNED_BACK)) == [], "two turn-backs are enough"
+
+
+def test_marks_age_out_and_success_clears_them() -> None:
+    rig = Rig()
+    rig.groups(c1=0, c2=0, c3=15, c4=0)
+    rig.call(dest=1)
+    rig.ends(1, 0, 3, i.Result.FULL, i.Note.TURNED_BACK)
+    rig.now += 11_000
+    assert sent_to(rig.call(ref=2, dest=1)) == [3]
+    rig.ends(2, 0, 3, i.Result.FULL, i.Note.TURNED_BACK)
+    rig.controller.marks[(3, 2)] = rig.now + 9_000
+    rig.controller.marks[(3, 1)] = 0.0
+    rig.call(ref=3, dest=1)
+    rig.controller.marks[(3, 1)] = rig.now + 9_000
+    rig.say(i.Stands(3, 0, 103, 50.0))
+    assert (3, 1) not in rig.controller.marks
+    assert (3, 2) in rig.controller.marks
+
+
+def test_overflow_leaves_the_reserve_to_direct_calls() -> None:
+    rig = Rig()
+    rig.groups(c1=0, c2=1, c3=1, c4=2)
+    assert sent_to(rig.call(dest=1)) == []
+    assert sent_to(rig.circuits(4, 4)) == [4]
+
+
+def test_transit_goes_on_or_back_at_once() -> None:
+    rig = Rig()
+    rig.groups(c1=10, c2=0)
+    assert sent_to(rig.call(ref=1, dest=1, via=3, transit=True)) == [1]
+    assert only(rig.call(ref=2, dest=2, via=3, transit=True), i.Refuse) == [i.Refuse(2, 0.0)]
+    assert only(rig.ends(1, 0, 1, i.Result.FULL, i.Note.PROCESSOR_FULL), i.Refuse) == [i.Refuse(1, 0.0)]
+
+
+def test_transit_yields_to_own_calls_that_wait() -> None:
+    rig = Rig()
+    rig.groups(c1=0, c2=0, c3=0, c4=0)
+    rig.call(ref=1, dest=1, width=4.0)
+    rig.circuits(1, 3, 3)
+    actions = rig.call(ref=2, dest=1, via=3, transit=True)
+    assert only(actions, i.Refuse) == [i.Refuse(2, 0.0)]
+
+
+def test_a_blocked_call_waits_and_goes_on_the_next_free_circuit() -> None:
+    rig = Rig()
+    rig.groups(c1=0, c2=0, c3=0, c4=0)
+    assert only(rig.call(dest=1), i.Refuse) == []
+    rig.now += 400
+    assert sent_to(rig.circuits(1, 1)) == [1]
+
+
+def test_a_waiting_call_is_refused_before_its_caller_leaves() -> None:
+    rig = Rig()
+    rig.groups(c1=0, c2=0, c3=0, c4=0)
+    reminders = only(rig.call(ref=5, dest=1, lasts=3_000), i.Remind)
+    last = next(r for r in reminders if r.label == 5)
+    assert last.after < 3_000
+    assert only(rig.say(i.Timer(5), last.after), i.Refuse) == [i.Refuse(5, 0.0)]
+    assert rig.say(i.Timer(5)) == NOTHING
+
+
+def test_better_worth_goes_first_and_cut_calls_before_all() -> None:
+    dear = replace(CLASS, importance=5.0)
+    rig = Rig(replace(SETTINGS, classes=(CLASS, dear)))
+    rig.groups(c1=0, c2=0, c3=0, c4=0)
+    rig.call(ref=1, dest=1)
+    rig.call(ref=2, dest=1, cls=1)
+    rig.call(ref=3, dest=1, cut=True)
+    order = [send.ref for _ in range(3) for send in only(rig.circuits(1, 1), i.Send)]
+    assert order == [3, 2, 1]
+
+
+def test_a_tenant_beyond_its_part_of_the_mix_goes_last() -> None:
+    tenants = (i.Tenant(10.0, 0.5), i.Tenant(10.0, 0.5))
+    rig = Rig(replace(SETTINGS, tenants=tenants, over_share_worth=0.1))
+    for ref in range(10, 30):
+        rig.circuits(1, 9)
+        rig.call(ref=ref, dest=1, tenant=0)
+        rig.say(i.Stands(ref, 0, 101, 50.0))
+    rig.circuits(1, 0)
+    rig.groups(c2=0, c3=0, c4=0)
+    rig.call(ref=1, dest=1, tenant=0)
+    rig.call(ref=2, dest=1, tenant=1)
+    assert [send.ref for send in only(rig.circuits(1, 1), i.Send)] == [2]
+
+
+@pytest.mark.parametrize("marked", [False, True])
+def test_a_redial_is_judged_by_its_first_try(marked: bool) -> None:
+    rig = Rig(replace(SETTINGS, marks_retry=marked))
+    rig.groups(c1=0, c2=0, c3=0, c4=0)
+    rig.call(ref=1, dest=1, number=77)
+    rig.say(i.Timer(1), 2_990.0)
+    rig.call(ref=2, dest=1, number=77, again=marked)
+    rig.call(ref=3, dest=1, number=78)
+    assert [send.ref for send in only(rig.circuits(1, 1), i.Send)] == [3], "the new call is worth more"
+    assert sent_to(rig.circuits(1, 1)) == [], "a late call leaves the reserve alone"
+    assert [send.ref for send in only(rig.circuits(1, 4), i.Send)] == [2]
+
+
+def test_a_call_for_the_own_exchange_goes_back() -> None:
+    rig = Rig()
+    assert rig.call(dest=0) == [i.Refuse(1, 0.0)]
+    assert rig.call(ref=2, dest=0, transit=True) == [i.Refuse(2, 0.0)]
+
+
+def test_a_destination_not_listed_is_refused_in_time() -> None:
+    rig = Rig()
+    reminders = only(rig.call(dest=9), i.Remind)
+    assert any(r.label == 1 and r.after < 3_000 for r in reminders)
+    assert only(rig.say(i.Timer(1), 2_990), i.Refuse) == [i.Refuse(1, 0.0)]
+
+
+def test_an_expired_call_is_refused_at_once() -> None:
+    assert only(Rig().call(lasts=0.0), i.Refuse) == [i.Refuse(1, 0.0)]
+
+
+def test_attempts_used_up_end_the_call() -> None:
+    rig = Rig(replace(SETTINGS, limits=i.Limits(most_tries=1)))
+    rig.call(dest=1)
+    actions = rig.ends(1, 0, 1, i.Result.MOOT, i.Note.NO_CIRCUIT)
+    assert only(actions, i.Refuse) == [i.Refuse(1, 0.0)] and sent_to(actions) == []
+
+
+def test_pools_first_choice_then_the_allowed_pool_with_most_agents() -> None:
+    classes = (replace(CLASS, cells=(1, 2, 3)),)
+    rig = Rig(replace(SETTINGS, layout=i.Layout.POOLS, here=-1, classes=classes))
+    rig.groups(c1=1, c2=8, c3=12, c4=20)
+    assert sent_to(rig.call(ref=1, dest=1)) == [1]
+    assert sent_to(rig.call(ref=2, dest=1)) == [3], "pool 4 lacks the skill"
+
+
+@pytest.mark.parametrize(
+    ("settings", "key"),
+    [
+        (replace(SETTINGS, classes=()), "Classes"),
+        (replace(SETTINGS, classes=(replace(CLASS, deadline=0.0),)), "Deadline"),
+        (replace(SETTINGS, classes=(replace(CLASS, on_time=-1.0),)), "OnTime"),
+        (replace(SETTINGS, rules=replace(SETTINGS.rules, release=-1.0)), "Guard"),
+        (replace(SETTINGS, tick=-5.0), "Round"),
+    ],
+)
+def test_settings_that_make_no_sense_name_their_key(settings: i.Settings, key: str) -> None:
+    with pytest.raises(ValueError, match=key):
+        Controller(settings, 1)
+
+
+def test_strays_are_ignored() -> None:
+    rig = Rig()
+    rig.call(ref=1, dest=1)
+    rig.say(i.CallerLeft(1))
+    assert rig.say(i.CallerLeft(1)) == NOTHING
+    assert rig.say(i.CallerLeft(99)) == NOTHING
+    assert rig.say(i.Timer(1)) == NOTHING
+    assert rig.ends(1, 0, 1, i.Result.CANCELLED) == NOTHING
+    assert rig.ends(1, 0, 1, i.Result.TIMEOUT) == NOTHING
+    assert rig.say(i.Stands(99, 0, 101, 1.0)) == NOTHING
