--- a/ospreybridge/policy.py
+++ b/ospreybridge/policy.py
@@ -23,8 +23,9 @@
 GOOD_DELAY = 0.12  # of the aim: a set-up answered within this widens the window
 BAD_DELAY = 0.25  # of the aim: one that took longer narrows it
 NARROW = 0.6  # factor on the window after a bad sign, at most once per set-up sent since the last
-PAUSE = 0.3  # of the aim: first pause before the next trial set-up once a window of one has failed too
-PAUSE_TOP = 2.0  # of the aim: longest such pause
+WINDOW_FLOOR = 0.2  # narrowest window: one set-up, then a gap of four times its duration
+GAP_TOP = 1.0  # of the aim: longest such gap, so that a wrong suspicion heals within a few calls
+PAUSE = 0.3  # of the aim: no set-up to a processor that said it is full, where it names no longer wait
 PATIENCE = 1.0  # of the aim left: time-out of an attempt that can still be on time
 COLD_MARGIN = 0.6  # of one server's part of the fail-back budget
 MIX_AGE = 10_000.0  # ms half-life of the tenants' mix, long enough for dozens of calls
@@ -45,7 +46,7 @@
         self.window = WINDOW_START
         self.pending: dict[tuple[int, int], float] = {}  # unanswered set-ups and when each was sent
         self.shrunk = 0.0  # answers to set-ups sent before this moment do not narrow the window again
-        self.pause, self.resumes = 0.0, 0.0
+        self.resumes = 0.0  # no set-up before this
         self.sent: list[float] = []
 
 
@@ -119,7 +120,7 @@
             if known is None:
                 known = self.offices[entry.office] = Exchange(entry)
             elif entry.started != known.started and entry.readiness is Readiness.READY:
-                known.window, known.resumes, known.pause = WINDOW_START, 0.0, 0.0
+                known.window, known.resumes = WINDOW_START, 0.0
             known.state, known.started, known.cell = entry.readiness, entry.started, entry.cell
         if event.form is not ListForm.DELTA:
             for office, known in self.offices.items():
@@ -245,7 +246,7 @@
 
     def _open(self, now: float, to: Exchange) -> bool:
         """Whether the window of unanswered set-ups has room; while cold also the fail-back budget."""
-        if now < to.resumes or len(to.pending) >= int(to.window):
+        if now < to.resumes or len(to.pending) >= max(1, int(to.window)):
             return False
         rules = self.s.rules
         if to.started <= 0 or now - to.started >= rules.warm_after:
@@ -346,23 +347,22 @@
             call.stands = True
 
     def _answered(self, now: float, x: Exchange, leg: tuple[int, int], took: float, aim: float) -> None:
-        sent, x.pause = x.pending.pop(leg, now), 0.0
+        sent = x.pending.pop(leg, now)
         if took <= GOOD_DELAY * aim:
-            x.window = min(WINDOW_TOP, x.window + 1.0 / x.window)
+            x.window = min(WINDOW_TOP, x.window + 1.0 / max(1.0, x.window))
         elif took > BAD_DELAY * aim:
-            self._narrow(now, x, sent)
+            self._narrow(now, x, sent, took)
 
-    def _narrow(self, now: float, x: Exchange, sent: float) -> None:
-        if sent >= x.shrunk:
-            x.window, x.shrunk = max(1.0, x.window * NARROW), now
+    def _narrow(self, now: float, x: Exchange, sent: float, took: float) -> None:
+        """A bad sign: the window narrows, once for all set-ups sent before; below one it becomes a gap.
 
-    def _silent(self, now: float, x: Exchange, sent: float, wait: float) -> None:
-        """No answer, or no room: the window narrows, and at one each further miss lengthens the pause."""
-        if x.window <= 1.0:
-            x.pause = min(PAUSE_TOP * self.aim, max(PAUSE * self.aim, 2 * x.pause))
-            x.resumes = now + x.pause
-        self._narrow(now, x, sent)
-        x.resumes = max(x.resumes, now + wait)
+        Guards against silent, hung, slow, cold and flooded processors alike, and against many servers whose
+        single set-ups are together too many. Harm: a far exchange behind a slow own processor is spared too.
+        """
+        if sent >= x.shrunk:
+            x.window, x.shrunk = max(WINDOW_FLOOR, x.window * NARROW), now
+        if x.window < 1.0:
+            x.resumes = now + min(GAP_TOP * self.aim, took * (1.0 / x.window - 1.0))
 
     def _outcome(self, now: float, event: Outcome) -> None:
         self._circuits(event.office, event.report)
@@ -378,12 +378,13 @@
         own_down = result is Result.MOOT and note is Note.PROCESSOR_FULL
         if result in (Result.TIMEOUT, Result.CONNECT_FAILED) and not stood:
             for x in path:
-                self._silent(now, x, sent, 0.0)
+                self._narrow(now, x, sent, event.took)
         elif result is Result.FULL and note is Note.PROCESSOR_FULL:
-            self._silent(now, path[0], sent, max(event.wait, PAUSE * self.aim))
+            self._narrow(now, path[0], sent, event.took)
+            path[0].resumes = max(path[0].resumes, now + event.wait, now + PAUSE * self.aim)
         elif result is Result.FULL and note is Note.TURNED_BACK:
             if event.wait > 0:
-                self._silent(now, path[-1], sent, PAUSE * self.aim)
+                self._narrow(now, path[-1], sent, event.took)
             elif len(path) > 1:
                 self.marks[(path[0].cell, dest)] = now + MARK_AGE
         elif own_down:
