After a processor-full answer the gap is not measured by that quick answer

Cause: the gap of a window below one was a multiple of the answer's duration, so 13 servers asked a full processor all the time; told from turn-backs by the duration (a turn-back takes a set-up more).

--- a/ospreybridge/policy.py
+++ b/ospreybridge/policy.py
@@ -380,11 +380,12 @@
             for x in path:
                 self._narrow(now, x, sent, event.took)
         elif result is Result.FULL and note is Note.PROCESSOR_FULL:
-            self._narrow(now, path[0], sent, event.took)
+            # It answers fast, so its gap is not measured by the answer: many servers would ask all the time.
+            self._narrow(now, path[0], sent, max(event.wait, PAUSE * self.aim))
             path[0].resumes = max(path[0].resumes, now + event.wait, now + PAUSE * self.aim)
         elif result is Result.FULL and note is Note.TURNED_BACK:
             if event.wait > 0:
-                self._narrow(now, path[-1], sent, event.took)
+                self._narrow(now, path[-1], sent, PAUSE * self.aim)
             elif len(path) > 1:
                 self.marks[(path[0].cell, dest)] = now + MARK_AGE
         elif own_down:
