--- a/ospreybridge/policy.py
+++ b/ospreybridge/policy.py
@@ -17,6 +17,7 @@
 
 MARK_AGE = 10_000.0  # ms a turn-back keeps (tandem, destination) marked; the design's own value
 SPARE_TICKS = 2.0  # ticks kept before a caller's time ends, so that the last answer is in time
+CUT_WORTH = 2.0  # times the worth of a call that was cut and comes again: without it all it earned is lost
 RESERVE = 0.1  # share of a group kept free of overflow, transit and second-rate calls (trunk reservation)
 WINDOW_START = 4.0  # unanswered set-ups towards an exchange nothing is known of
 WINDOW_TOP = 6.0  # most unanswered set-ups towards one exchange
@@ -238,6 +239,8 @@
         dest = self._ready(call.request.dest)
         if dest is None or not self._room(dest, call, True):
             worth *= self.hold / (call.request.width * max(1.0, kind.hold))  # circuits are short, not set-ups
+        if call.request.cut:
+            worth *= CUT_WORTH
         if now >= call.aim_at:
             worth *= kind.late_worth
         return worth
@@ -264,7 +267,7 @@
         if not self.waiting or now < self.own_resumes:
             self._poll()
             return
-        queue = sorted(self.waiting.values(), key=lambda c: (not c.request.cut, -self._worth(now, c)))
+        queue = sorted(self.waiting.values(), key=lambda c: -self._worth(now, c))
         short: dict[int, bool] = {}  # destinations for which a better call waits for circuits
         for call in queue:
             if now < call.ready_at:
