--- a/ospreybridge/policy.py
+++ b/ospreybridge/policy.py
@@ -55,15 +55,13 @@
     """One call this server owes an answer, from its arrival until it stands or ends."""
 
     def __init__(self, request: Request, kind: CallClass, now: float, spare: float) -> None:
-        self.request, self.kind, self.part = request, kind, 1.0
-        self.first = now
+        self.request, self.kind, self.part, self.first = request, kind, 1.0, now
         self.aim_at = min(now + kind.on_time, request.expires)
         self.last = request.expires - spare  # the last moment for an answer
         self.attempts, self.turned = 0, 0
         self.ready_at = now  # not to be sent before this (release)
         self.sent_to: Exchange | None = None  # where its one attempt is out
-        self.stands = False
-        self.doubt = False  # an earlier attempt may have run
+        self.stands, self.doubt = False, False  # doubt: an earlier attempt may have run
         self.group_of: Exchange | None = None
         self.group_end = 0.0
 
@@ -74,6 +72,7 @@
         self.s, self.random = settings, Random(seed)
         self.mesh = settings.layout is Layout.MESH
         self.offices: dict[int, Exchange] = {}
+        self.ready: dict[int, Exchange] = {}  # those that take calls, by number
         self.calls: dict[int, Call] = {}
         self.waiting: dict[int, Call] = {}
         self.legs: dict[tuple[int, int], tuple[list[Exchange], float, int]] = {}
@@ -130,16 +129,13 @@
                 if office not in listed:
                     known.state = Readiness.GONE
         self.offices = {office: x for office, x in self.offices.items() if x.state is not Readiness.GONE}
+        self.ready = {x.cell: x for x in self.offices.values() if x.state is Readiness.READY}
 
     def _circuits(self, office: int, report: Report | None) -> None:
         known = self.offices.get(office)
         if known is not None and report is not None and report.free is not None:
             known.free, known.size = report.free, report.size or 0.0
 
-    def _ready(self, cell: int) -> Exchange | None:
-        found = [x for x in self.offices.values() if x.cell == cell and x.state is Readiness.READY]
-        return found[-1] if found else None
-
     # -- calls come and go
 
     def _request(self, now: float, request: Request) -> None:
@@ -195,7 +191,7 @@
 
     def _transit(self, now: float, call: Call) -> bool:
         """A call in transit holds a circuit already: it goes on at once or is turned back, never held."""
-        dest = self._ready(call.request.dest)
+        dest = self.ready.get(call.request.dest)
         waits = any(other.request.dest == call.request.dest for other in self.waiting.values())
         if waits or dest is None or not self._open(now, dest) or not self._room(dest, call, True):
             return False
@@ -207,9 +203,8 @@
         self.calls.pop(ref, None)
         self.waiting.pop(ref, None)
         self._unserved(now, call)
-        kind = call.kind
-        guarded_by_all = kind.semantics is Semantics.GUARDED and kind.group is Group.ALL
-        harmless = not call.doubt or kind.semantics is Semantics.FREE or guarded_by_all
+        guarded_by_all = call.kind.semantics is Semantics.GUARDED and call.kind.group is Group.ALL
+        harmless = not call.doubt or call.kind.semantics is Semantics.FREE or guarded_by_all
         self.out.append(Refuse(ref) if harmless else Fail(ref))
 
     def _may_send(self, now: float, call: Call, to: Exchange) -> bool:
@@ -236,7 +231,7 @@
     def _worth(self, now: float, call: Call) -> float:
         kind = call.kind
         worth = call.part * kind.importance
-        dest = self._ready(call.request.dest)
+        dest = self.ready.get(call.request.dest)
         if dest is None or not self._room(dest, call, True):
             worth *= self.hold / (call.request.width * max(1.0, kind.hold))  # circuits are short, not set-ups
         if call.request.cut:
@@ -264,43 +259,47 @@
         return to.free >= call.request.width + kept
 
     def _dispatch(self, now: float) -> None:
-        if not self.waiting or now < self.own_resumes:
-            self._poll()
-            return
-        queue = sorted(self.waiting.values(), key=lambda c: -self._worth(now, c))
-        short: dict[int, bool] = {}  # destinations for which a better call waits for circuits
-        for call in queue:
-            if now < call.ready_at:
-                continue
-            dest = self._ready(call.request.dest)
-            if call.attempts >= self.s.limits.most_tries:
-                self._end(now, call)
-                continue
-            if dest is None or not self._open(now, dest):
-                continue
-            second_rate, held_up = now >= call.aim_at, dest.cell in short
-            if not held_up and self._room(dest, call, second_rate) and self._may_send(now, call, dest):
-                self._send(now, call, dest, [dest])
-                continue
-            short[dest.cell] = True
-            if second_rate or call.turned > 1:
-                continue
-            tandem = self._tandem(now, call, dest)
-            if tandem is not None:
-                self._send(now, call, tandem, [tandem, dest] if self.mesh else [tandem])
+        if self.waiting and now >= self.own_resumes:
+            able = [x for x in self.ready.values() if x.cell != self.s.here and self._open(now, x)
+                    and x.free >= 1.0 + max(1.0, RESERVE * x.size)]
+            ways: dict[int, tuple[bool, bool]] = {}  # by destination: may go direct, may go over a tandem
+            moving = []
+            for call in self.waiting.values():
+                cell = call.request.dest
+                if cell not in ways:
+                    dest = self.ready.get(cell)
+                    opened = dest is not None and self._open(now, dest)
+                    ways[cell] = (opened and self.ready[cell].free >= 1.0, opened and any(
+                        self.marks.get((x.cell, cell), 0.0) <= now and x.cell != cell for x in able))
+                direct, over = ways[cell]
+                if now >= call.ready_at and (direct or (over and call.turned < 2 and now < call.aim_at)):
+                    moving.append(call)
+            short: set[int] = set()  # destinations for which a better call waits for circuits
+            for call in sorted(moving, key=lambda c: -self._worth(now, c)):
+                self._route(now, call, self.ready[call.request.dest], short, able)
         self._poll()
 
-    def _tandem(self, now: float, call: Call, dest: Exchange) -> Exchange | None:
-        able = [
-            x for x in self.offices.values()
-            if x.state is Readiness.READY and x.cell not in (dest.cell, self.s.here)
-            and (self.mesh or x.cell in call.kind.cells)
+    def _route(self, now: float, call: Call, dest: Exchange, short: set[int], able: list[Exchange]) -> None:
+        if not self._open(now, dest):
+            return
+        second_rate = now >= call.aim_at
+        direct = dest.cell not in short and self._room(dest, call, second_rate)
+        if direct and self._may_send(now, call, dest):
+            self._send(now, call, dest, [dest])
+            return
+        short.add(dest.cell)
+        if second_rate or call.turned > 1:
+            return
+        tandems = [
+            x for x in able
+            if x.cell != dest.cell and (self.mesh or x.cell in call.kind.cells)
             and self.marks.get((x.cell, dest.cell), 0.0) <= now
             and self._open(now, x) and self._room(x, call, True) and self._may_send(now, call, x)
         ]
-        most = max((x.free for x in able), default=0.0)
-        best = [x for x in able if x.free == most]
-        return self.random.choice(best) if best else None
+        if tandems:
+            most = max(x.free for x in tandems)
+            tandem = self.random.choice([x for x in tandems if x.free == most])
+            self._send(now, call, tandem, [tandem, dest] if self.mesh else [tandem])
 
     def _send(self, now: float, call: Call, to: Exchange, path: list[Exchange]) -> None:
         ref = call.request.ref
