Cold budget as a randomly phased gap; pairs without a group learnt; routes looked at only when an event can free one

Cause: the floor of one set-up per overload period per server made sixty of sixty servers (rule 4); after a deploy the new processors' groups and pairs without a group looked open and emptiest for ever, five attempts a call; every event looked at all routes.

--- a/ospreybridge/policy.py
+++ b/ospreybridge/policy.py
@@ -7,11 +7,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from random import Random
+from typing import Any
 
 from ospreybridge.interface import (
     Action, CallClass, CallerLeft, Cancel, Discovery, Entry, Event, Fail, Follow, Group, Layout, ListForm,
-    Members, Note, Outcome, Probed, Readiness, Refuse, Remark, Remind, Report, Request, Result, Semantics,
+    Members, Note, Outcome, Probed, Readiness, Refuse, Remark, Remind, Request, Result, Semantics,
     Send, Settings, Stands, Timer,
 )
 
@@ -29,6 +31,7 @@
 PAUSE = 0.3  # of the aim: no set-up to a processor that said it is full, where it names no longer wait
 PATIENCE = 1.0  # of the aim left: time-out of an attempt that can still be on time
 COLD_MARGIN = 0.6  # of one server's part of the fail-back budget
+USUAL_AGE = 10_000.0  # ms of own set-ups that tell the usual pace, dozens of calls even at a small exchange
 MIX_AGE = 10_000.0  # ms half-life of the tenants' mix, long enough for dozens of calls
 POLL = 0.04  # of the smallest aim: how often waiting calls are looked at when nothing happens
 DOUBTFUL = (Result.TIMEOUT, Result.RESET, Result.CANCELLED)
@@ -48,7 +51,6 @@
         self.told = False  # whether a log line says that it gets a trickle only
         self.shrunk = 0.0  # answers to set-ups sent before this moment do not narrow the window again
         self.resumes = 0.0  # no set-up before this
-        self.sent: list[float] = []
 
 
 class Call:
@@ -82,76 +84,79 @@
         self.hold = max(1.0, min(kind.hold * kind.width for kind in settings.classes))
         self.aim = min(kind.on_time for kind in settings.classes)
         self.recent: list[float] = []  # own sends of late, for what a warm exchange bears
+        self.born = -1.0  # time of the first event
         self.asked = settings.discovery is not Discovery.SUBSCRIBE
         self.polling = False
         self.own_resumes = 0.0
+        self.look = False
         self.out: list[Action] = []
+        self.handlers: dict[type, Callable[[float, Any], None]] = {
+            Request: self._request, Stands: self._stands, Outcome: self._outcome, Probed: self._circuits,
+            Members: self._members, CallerLeft: self._left, Timer: self._timer,
+        }
 
     def handle(self, now: float, event: Event) -> list[Action]:
         self.out = []
+        self.born = now if self.born < 0 else self.born
+        self.look = type(event) is Members  # whether this event may let a waiting call go
         if not self.asked:
             self.asked = True
             self.out.append(Follow(True))
-        if isinstance(event, Request):
-            self._request(now, event)
-        elif isinstance(event, Stands):
-            self._stands(now, event)
-        elif isinstance(event, Outcome):
-            self._outcome(now, event)
-        elif isinstance(event, Probed):
-            self._circuits(event.office, event.report)
-        elif isinstance(event, Members):
-            self._members(now, event)
-        elif isinstance(event, CallerLeft):
-            self._left(now, event.ref)
-        elif isinstance(event, Timer):
-            self._timer(now, event.label)
-        self._dispatch(now)
+        handler = self.handlers.get(type(event))
+        if handler is not None:
+            handler(now, event)
+        if self.look:
+            self._dispatch(now)
+        self._poll()
         return self.out
 
     # -- the list of exchanges and their circuits
 
     def _members(self, now: float, event: Members) -> None:
         if event.form is ListForm.FAILED:
-            after = self.s.rules.ask_within * (0.1 + 0.2 * self.random.random())
-            self.out.append(Remind(POLL_LABEL + 1, after))
+            self.out.append(Remind(POLL_LABEL + 1, self.s.rules.ask_within * self.random.uniform(0.1, 0.3)))
             return
-        listed = {entry.office for entry in event.entries}
+        listed, started = {entry.office for entry in event.entries}, []
         for entry in event.entries:
             known = self.offices.get(entry.office)
+            fresh = known is None or (entry.started != known.started and entry.readiness is Readiness.READY)
             if known is None:
-                known = self.offices[entry.office] = Exchange(entry)
-            elif entry.started != known.started and entry.readiness is Readiness.READY:
-                known.window, known.resumes = WINDOW_START, 0.0
+                known = Exchange(entry)
+                for old in self.offices.values():  # a new processor takes over the groups of the old
+                    if old.cell == entry.cell:
+                        known.free, known.size = old.free, old.size
+                self.offices[entry.office] = known
             known.state, known.started, known.cell = entry.readiness, entry.started, entry.cell
+            if fresh:
+                started.append(known)
         if event.form is not ListForm.DELTA:
             for office, known in self.offices.items():
                 if office not in listed:
                     known.state = Readiness.GONE
         self.offices = {office: x for office, x in self.offices.items() if x.state is not Readiness.GONE}
         self.ready = {x.cell: x for x in self.offices.values() if x.state is Readiness.READY}
+        for x in started:  # all servers hear of a start at about the same time: each begins at its own
+            x.window, x.resumes = WINDOW_START, now + self._cold_gap(now, x) * self.random.random()
 
-    def _circuits(self, office: int, report: Report | None) -> None:
-        known = self.offices.get(office)
+    def _circuits(self, now: float, event: Probed | Outcome) -> None:
+        known, report = self.offices.get(event.office), event.report
         if known is not None and report is not None and report.free is not None:
+            self.look = self.look or report.free >= known.free
             known.free, known.size = report.free, report.size or 0.0
 
     # -- calls come and go
 
     def _request(self, now: float, request: Request) -> None:
-        if request.ref in self.calls:
-            return
         call = Call(request, self.s.classes[request.cls], now, SPARE_TICKS * self.s.tick)
         call.part = self._tenant_part(now, request)
         self._redial(now, call)
         self.calls[request.ref] = call
-        # A call to the own exchange, handed over while another call server was down, has no route: it
-        # goes back to its caller at once. Guards against any such stray call; costs nothing elsewhere.
+        # A call to the own exchange, handed over while another server was down, has no route: back at once.
         stray = call.last <= now or request.dest == self.s.here
         if stray or (request.transit and not self._transit(now, call)):
             self._end(now, call)
         elif not request.transit:
-            self.waiting[request.ref] = call
+            self.waiting[request.ref], self.look = call, True
             self.out.append(Remind(request.ref, call.last - now))
 
     def _redial(self, now: float, call: Call) -> None:
@@ -217,14 +222,14 @@
             return to.zone == call.group_of.zone
         return call.kind.group is Group.ALL or to.cell == call.group_of.cell
 
-    def _left(self, now: float, ref: int) -> None:
-        call = self.calls.pop(ref, None)
-        self.waiting.pop(ref, None)
+    def _left(self, now: float, event: CallerLeft) -> None:
+        call = self.calls.pop(event.ref, None)
+        self.waiting.pop(event.ref, None)
         if call is None or call.stands:
             return
         self._unserved(now, call)
         if call.sent_to is not None and self.s.limits.cancel:
-            self.out.append(Cancel(ref, call.attempts - 1))
+            self.out.append(Cancel(event.ref, call.attempts - 1))
 
     # -- routes
 
@@ -241,27 +246,29 @@
         return worth
 
     def _open(self, now: float, to: Exchange) -> bool:
-        """Whether the window of unanswered set-ups has room; while cold also the fail-back budget."""
-        if now < to.resumes or len(to.pending) >= max(1, int(to.window)):
-            return False
-        rules = self.s.rules
-        if to.started <= 0 or now - to.started >= rules.warm_after:
-            return True
-        # Guards against pushing over a processor that just started: what a warm one bears from here is
-        # known, the peers' part is not, so each keeps to its own. Harm: a restarted server is over-careful.
-        late = sum(now - at < rules.warm_after for at in self.recent)
-        usual = late * rules.overload_for / max(1.0, rules.warm_after) / max(1, len(self.offices))
-        budget = max(1, int(usual * rules.overload_factor * rules.cold_share * COLD_MARGIN))
-        return sum(now - at < rules.overload_for for at in to.sent) < budget
+        return now >= to.resumes and len(to.pending) < max(1, int(to.window))
+
+    def _usual(self, now: float) -> float:
+        """Usual ms between own set-ups to one exchange: the list's mean, from all own set-ups of late."""
+        return min(USUAL_AGE, max(now - self.born, self.aim)) * len(self.offices) / (len(self.recent) + 1)
+
+    def _cold_gap(self, now: float, x: Exchange) -> float:
+        """Mean gap between own set-ups to a processor that started lately; 0 once it is warm.
+
+        Guards against pushing it over: what a warm one bears from here is known, the peers' part is not, so
+        each keeps to its own, however many they are. Harm: a server that just restarted is over-careful.
+        """
+        share = COLD_MARGIN * self.s.rules.overload_factor * self.s.rules.cold_share
+        left = x.started + self.s.rules.warm_after - now if x.started > 0 else 0.0
+        return max(0.0, min(left, self._usual(now) / max(0.01, share)))
 
     def _room(self, to: Exchange, call: Call, spare: bool) -> bool:
-        kept = max(1.0, RESERVE * to.size) if spare else 0.0
-        return to.free >= call.request.width + kept
+        return to.free >= call.request.width + (max(1.0, RESERVE * to.size) if spare else 0.0)
 
     def _dispatch(self, now: float) -> None:
         if self.waiting and now >= self.own_resumes:
-            able = [x for x in self.ready.values() if x.cell != self.s.here and self._open(now, x)
-                    and x.free >= 1.0 + max(1.0, RESERVE * x.size)]
+            able = [x for x in self.ready.values() if x.free >= 1.0 + max(1.0, RESERVE * x.size)
+                    and self._open(now, x) and x.cell != self.s.here]
             ways: dict[int, tuple[bool, bool]] = {}  # by destination: may go direct, may go over a tandem
             moving = []
             for call in self.waiting.values():
@@ -277,7 +284,6 @@
             short: set[int] = set()  # destinations for which a better call waits for circuits
             for call in sorted(moving, key=lambda c: -self._worth(now, c)):
                 self._route(now, call, self.ready[call.request.dest], short, able)
-        self._poll()
 
     def _route(self, now: float, call: Call, dest: Exchange, short: set[int], able: list[Exchange]) -> None:
         if not self._open(now, dest):
@@ -304,39 +310,37 @@
     def _send(self, now: float, call: Call, to: Exchange, path: list[Exchange]) -> None:
         ref = call.request.ref
         self.waiting.pop(ref, None)
-        limit = call.last - now
-        if not call.request.transit and now < call.aim_at:
-            limit = min(limit, PATIENCE * (call.aim_at - now))
+        in_time = not call.request.transit and now < call.aim_at
+        limit = min(call.last - now, PATIENCE * (call.aim_at - now) if in_time else call.last)
         leg = (ref, call.attempts)
         self.legs[leg] = (path, now, call.request.dest)
         for x in path:
             x.pending[leg] = now
-            x.sent = [at for at in x.sent if now - at < self.s.rules.overload_for] + [now]
-        self.recent = [at for at in self.recent if now - at < self.s.rules.warm_after] + [now]
+            x.resumes = max(x.resumes, now + self._cold_gap(now, x) * self.random.uniform(0.5, 1.5))
+        self.recent = [at for at in self.recent if now - at < USUAL_AGE] + [now]
         to.free -= call.request.width
         if call.group_of is None:
             call.group_of, call.group_end = to, now + call.kind.window
-        call.attempts += 1
-        call.sent_to = to
+        call.attempts, call.sent_to = call.attempts + 1, to
         self.out.append(Send(ref, to.office, max(1.0, limit)))
 
     # -- answers
 
     def _stands(self, now: float, event: Stands) -> None:
-        leg = self.legs.get((event.ref, event.attempt))
-        if leg is None:
+        leg = (event.ref, event.attempt)
+        if leg not in self.legs:
             return
-        path, _, dest = leg
+        path, _, dest = self.legs[leg]
         call = self.calls.get(event.ref)
-        aim = call.kind.on_time if call is not None else self.aim
         for x in path:
-            self._answered(now, x, (event.ref, event.attempt), event.took, aim)
+            self._answered(now, x, leg, event.took, call.kind.on_time if call is not None else self.aim)
         if len(path) > 1:
             self.marks.pop((path[0].cell, dest), None)
         if call is not None:
             call.stands = True
 
     def _answered(self, now: float, x: Exchange, leg: tuple[int, int], took: float, aim: float) -> None:
+        self.look = True
         sent = x.pending.pop(leg, now)
         if took <= GOOD_DELAY * aim:
             x.window = min(WINDOW_TOP, x.window + 1.0 / max(1.0, x.window))
@@ -361,17 +365,16 @@
             x.resumes = now + min(GAP_TOP * self.aim, took * (1.0 / x.window - 1.0))
 
     def _outcome(self, now: float, event: Outcome) -> None:
-        self._circuits(event.office, event.report)
+        self._circuits(now, event)
         key = (event.ref, event.attempt)
-        leg = self.legs.pop(key, None)
-        if leg is None:
+        if key not in self.legs:
             return
-        path, sent, dest = leg
+        path, sent, dest = self.legs.pop(key)
         stood = key not in path[0].pending
+        self.look = self.look or not stood
         for x in path:
             x.pending.pop(key, None)
         result, note = event.result, event.note
-        own_down = result is Result.MOOT and note is Note.PROCESSOR_FULL
         if result in (Result.TIMEOUT, Result.CONNECT_FAILED) and not stood:
             for x in path:
                 self._narrow(now, x, sent, event.took)
@@ -384,12 +387,14 @@
                 self._narrow(now, path[-1], sent, PAUSE * self.aim)
             elif len(path) > 1:
                 self.marks[(path[0].cell, dest)] = now + MARK_AGE
-        elif own_down:
+        elif result is Result.MOOT and note is Note.PROCESSOR_FULL:  # the own processor is down
             self.own_resumes = now + max(event.wait, PAUSE * self.aim)
         call = self.calls.get(event.ref)
         if call is None or call.attempts - 1 != event.attempt:
             return
         call.sent_to = None
+        if note is Note.NO_CIRCUIT and event.report is None:
+            path[0].free = min(path[0].free, call.request.width - 1.0)  # a pair may have no group at all
         if event.ended or stood:
             self.calls.pop(event.ref, None)
             return
@@ -406,8 +411,8 @@
             call.ready_at = now + self.s.rules.release + self.s.tick
         if call.ready_at >= call.last or call.attempts >= self.s.limits.most_tries:
             self._end(now, call)
-            return
-        self.waiting[event.ref] = call
+        else:
+            self.waiting[event.ref] = call
 
     # -- time
 
@@ -416,15 +421,13 @@
             self.polling = True
             self.out.append(Remind(POLL_LABEL, max(self.s.tick, POLL * self.aim)))
 
-    def _timer(self, now: float, label: int) -> None:
-        if label == POLL_LABEL:
-            self.polling = False
-            return
-        if label == POLL_LABEL + 1:
+    def _timer(self, now: float, event: Timer) -> None:
+        if event.label == POLL_LABEL:
+            self.polling, self.look = False, True
+        elif event.label == POLL_LABEL + 1:
             self.out.append(Follow(True))
-            return
-        if label in self.waiting:
-            self._end(now, self.waiting[label])
+        elif event.label in self.waiting:
+            self._end(now, self.waiting[event.label])
 
 
 def check(settings: Settings) -> None:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -7,6 +7,7 @@
 
 from ospreybridge import Controller
 from ospreybridge import interface as i
+from ospreybridge.policy import POLL_LABEL
 
 T = TypeVar("T")
 
@@ -56,6 +57,9 @@
         request = replace(i.Request(ref, 0, dest, self.now + lasts, number=ref), **more)  # type: ignore[arg-type]
         return self.say(request)
 
+    def poll(self) -> list[i.Action]:
+        return self.say(i.Timer(POLL_LABEL))
+
     def ends(
         self, ref: int, attempt: int, cell: int, result: i.Result, note: i.Note = i.Note.NONE, **more: object
     ) -> list[i.Action]:
