--- a/ospreybridge/policy.py
+++ b/ospreybridge/policy.py
@@ -27,7 +27,8 @@
 BAD_DELAY = 0.25  # of the aim: one that took longer narrows it
 NARROW = 0.6  # factor on the window after a bad sign, at most once per set-up sent since the last
 WINDOW_FLOOR = 0.2  # narrowest window: one set-up, then a gap of four times its duration
-GAP_TOP = 1.0  # of the aim: longest such gap, so that a wrong suspicion heals within a few calls
+THIN = 2.0  # most that both may grow where set-ups to one exchange are rare: one sign must count for more
+GAP_TOP = 1.0  # of the usual time between set-ups: longest such gap (one aim at least)
 PAUSE = 0.3  # of the aim: no set-up to a processor that said it is full, where it names no longer wait
 PATIENCE = 1.0  # of the aim left: time-out of an attempt that can still be on time
 COLD_MARGIN = 0.6  # of one server's part of the fail-back budget
@@ -45,7 +46,7 @@
     def __init__(self, entry: Entry) -> None:
         self.office, self.cell, self.zone = entry.office, entry.cell, entry.zone
         self.state, self.started = entry.readiness, entry.started
-        self.free, self.size = float("inf"), 0.0  # an unknown group counts as open
+        self.free, self.kept = float("inf"), 1.0  # an unknown group counts as open
         self.window = WINDOW_START
         self.pending: dict[tuple[int, int], float] = {}  # unanswered set-ups and when each was sent
         self.told = False  # whether a log line says that it gets a trickle only
@@ -85,30 +86,26 @@
         self.aim = min(kind.on_time for kind in settings.classes)
         self.recent: list[float] = []  # own sends of late, for what a warm exchange bears
         self.born = -1.0  # time of the first event
-        self.asked = settings.discovery is not Discovery.SUBSCRIBE
         self.polling = False
         self.own_resumes = 0.0
         self.look = False
-        self.out: list[Action] = []
+        self.out: list[Action] = [Follow(True)] if settings.discovery is Discovery.SUBSCRIBE else []
         self.handlers: dict[type, Callable[[float, Any], None]] = {
             Request: self._request, Stands: self._stands, Outcome: self._outcome, Probed: self._circuits,
             Members: self._members, CallerLeft: self._left, Timer: self._timer,
         }
 
     def handle(self, now: float, event: Event) -> list[Action]:
-        self.out = []
         self.born = now if self.born < 0 else self.born
         self.look = type(event) is Members  # whether this event may let a waiting call go
-        if not self.asked:
-            self.asked = True
-            self.out.append(Follow(True))
         handler = self.handlers.get(type(event))
         if handler is not None:
             handler(now, event)
-        if self.look:
+        if self.look and self.waiting and now >= self.own_resumes:
             self._dispatch(now)
         self._poll()
-        return self.out
+        out, self.out = self.out, []
+        return out
 
     # -- the list of exchanges and their circuits
 
@@ -124,16 +121,13 @@
                 known = Exchange(entry)
                 for old in self.offices.values():  # a new processor takes over the groups of the old
                     if old.cell == entry.cell:
-                        known.free, known.size = old.free, old.size
+                        known.free, known.kept = old.free, old.kept
                 self.offices[entry.office] = known
             known.state, known.started, known.cell = entry.readiness, entry.started, entry.cell
             if fresh:
                 started.append(known)
-        if event.form is not ListForm.DELTA:
-            for office, known in self.offices.items():
-                if office not in listed:
-                    known.state = Readiness.GONE
-        self.offices = {office: x for office, x in self.offices.items() if x.state is not Readiness.GONE}
+        self.offices = {office: x for office, x in self.offices.items() if x.state is not Readiness.GONE
+                        and (office in listed or event.form is ListForm.DELTA)}
         self.ready = {x.cell: x for x in self.offices.values() if x.state is Readiness.READY}
         for x in started:  # all servers hear of a start at about the same time: each begins at its own
             x.window, x.resumes = WINDOW_START, now + self._cold_gap(now, x) * self.random.random()
@@ -142,7 +136,7 @@
         known, report = self.offices.get(event.office), event.report
         if known is not None and report is not None and report.free is not None:
             self.look = self.look or report.free >= known.free
-            known.free, known.size = report.free, report.size or 0.0
+            known.free, known.kept = report.free, max(1.0, RESERVE * (report.size or 0.0))
 
     # -- calls come and go
 
@@ -250,7 +244,8 @@
 
     def _usual(self, now: float) -> float:
         """Usual ms between own set-ups to one exchange: the list's mean, from all own set-ups of late."""
-        return min(USUAL_AGE, max(now - self.born, self.aim)) * len(self.offices) / (len(self.recent) + 1)
+        span = min(USUAL_AGE, max(now - self.born, self.aim))
+        return min(USUAL_AGE, span * len(self.offices) / (len(self.recent) + 1))
 
     def _cold_gap(self, now: float, x: Exchange) -> float:
         """Mean gap between own set-ups to a processor that started lately; 0 once it is warm.
@@ -258,32 +253,31 @@
         Guards against pushing it over: what a warm one bears from here is known, the peers' part is not, so
         each keeps to its own, however many they are. Harm: a server that just restarted is over-careful.
         """
-        share = COLD_MARGIN * self.s.rules.overload_factor * self.s.rules.cold_share
+        share = max(0.01, COLD_MARGIN * self.s.rules.overload_factor * self.s.rules.cold_share)
         left = x.started + self.s.rules.warm_after - now if x.started > 0 else 0.0
-        return max(0.0, min(left, self._usual(now) / max(0.01, share)))
+        return max(0.0, min(left, self._usual(now) / share))
 
     def _room(self, to: Exchange, call: Call, spare: bool) -> bool:
-        return to.free >= call.request.width + (max(1.0, RESERVE * to.size) if spare else 0.0)
+        return to.free >= call.request.width + (to.kept if spare else 0.0)
 
     def _dispatch(self, now: float) -> None:
-        if self.waiting and now >= self.own_resumes:
-            able = [x for x in self.ready.values() if x.free >= 1.0 + max(1.0, RESERVE * x.size)
-                    and self._open(now, x) and x.cell != self.s.here]
-            ways: dict[int, tuple[bool, bool]] = {}  # by destination: may go direct, may go over a tandem
-            moving = []
-            for call in self.waiting.values():
-                cell = call.request.dest
-                if cell not in ways:
-                    dest = self.ready.get(cell)
-                    opened = dest is not None and self._open(now, dest)
-                    ways[cell] = (opened and self.ready[cell].free >= 1.0, opened and any(
-                        self.marks.get((x.cell, cell), 0.0) <= now and x.cell != cell for x in able))
-                direct, over = ways[cell]
-                if now >= call.ready_at and (direct or (over and call.turned < 2 and now < call.aim_at)):
-                    moving.append(call)
-            short: set[int] = set()  # destinations for which a better call waits for circuits
-            for call in sorted(moving, key=lambda c: -self._worth(now, c)):
-                self._route(now, call, self.ready[call.request.dest], short, able)
+        ways: dict[int, float] = {}  # by destination: free circuits direct, or -1 where nothing may go
+        moving = []
+        for call in self.waiting.values():
+            cell = call.request.dest
+            if cell not in ways:
+                dest = self.ready.get(cell)
+                ways[cell] = dest.free if dest is not None and self._open(now, dest) else -1.0
+            over = ways[cell] >= 0.0 and call.turned < 2 and now < call.aim_at
+            if (over or ways[cell] >= 1.0) and now >= call.ready_at:
+                moving.append(call)
+        if not moving:
+            return
+        able = [x for x in self.ready.values()
+                if x.free >= 1.0 + x.kept and self._open(now, x) and x.cell != self.s.here]
+        short: set[int] = set()  # destinations for which a better call waits for circuits
+        for call in sorted(moving, key=lambda c: -self._worth(now, c)):
+            self._route(now, call, self.ready[call.request.dest], short, able)
 
     def _route(self, now: float, call: Call, dest: Exchange, short: set[int], able: list[Exchange]) -> None:
         if not self._open(now, dest):
@@ -342,11 +336,14 @@
     def _answered(self, now: float, x: Exchange, leg: tuple[int, int], took: float, aim: float) -> None:
         self.look = True
         sent = x.pending.pop(leg, now)
-        if took <= GOOD_DELAY * aim:
-            x.window = min(WINDOW_TOP, x.window + 1.0 / max(1.0, x.window))
-        elif took > BAD_DELAY * aim:
+        usual = self._usual(now)
+        thin = aim * min(THIN, max(1.0, usual / self.aim))
+        if took <= GOOD_DELAY * thin:
+            top = min(WINDOW_TOP, 1.0 + 2.0 * self.aim / usual)
+            x.window = min(top, x.window + 1.0 / max(1.0, x.window))
+        elif took > BAD_DELAY * thin:
             self._narrow(now, x, sent, took)
-        if x.told and x.window >= WINDOW_START:
+        if x.told and x.window >= 1.0:
             x.told = False
             self.out.append(Remark(f"exchange {x.cell}: answers set-ups in time again"))
 
@@ -356,13 +353,16 @@
         Guards against silent, hung, slow, cold and flooded processors alike, and against many servers whose
         single set-ups are together too many. Harm: a far exchange behind a slow own processor is spared too.
         """
+        usual = self._usual(now)
         if sent >= x.shrunk:
-            x.window, x.shrunk = max(WINDOW_FLOOR, x.window * NARROW), now
+            x.window = max(WINDOW_FLOOR, NARROW * min(x.window, 1.0 + self.aim / usual))
+            x.shrunk = now
         if x.window < 1.0:
             if not x.told:
                 x.told = True
                 self.out.append(Remark(f"exchange {x.cell}: set-ups late or unanswered; a trickle only"))
-            x.resumes = now + min(GAP_TOP * self.aim, took * (1.0 / x.window - 1.0))
+            gap = min(max(self.aim, GAP_TOP * usual), max(took, usual) * (1.0 / x.window - 1.0))
+            x.resumes = max(x.resumes, now + gap * self.random.uniform(0.5, 1.5))
 
     def _outcome(self, now: float, event: Outcome) -> None:
         self._circuits(now, event)
