--- a/ospreybridge/policy.py
+++ b/ospreybridge/policy.py
@@ -47,7 +47,7 @@
     def __init__(self, entry: Entry) -> None:
         self.office, self.cell, self.zone = entry.office, entry.cell, entry.zone
         self.state, self.started = entry.readiness, entry.started
-        self.free, self.kept = float("inf"), 1.0  # an unknown group counts as open
+        self.free, self.size, self.kept = float("inf"), 0.0, 1.0  # an unknown group counts as open
         self.window = WINDOW_START
         self.pending: dict[tuple[int, int], float] = {}  # unanswered set-ups and when each was sent
         self.told = False  # whether a log line says that it gets a trickle only
@@ -63,11 +63,10 @@
         self.aim_at = min(now + kind.on_time, request.expires)
         self.last = request.expires - spare  # the last moment for an answer
         self.attempts, self.turned = 0, 0
-        self.ready_at = now  # not to be sent before this (release)
+        self.ready_at, self.group_end = now, 0.0  # not to be sent before this (release)
         self.sent_to: Exchange | None = None  # where its one attempt is out
         self.stands, self.doubt = False, False  # doubt: an earlier attempt may have run
         self.group_of: Exchange | None = None
-        self.group_end = 0.0
 
 
 class Controller:
@@ -120,7 +119,7 @@
                 known = Exchange(entry)
                 for old in self.offices.values():  # a new processor takes over the groups of the old
                     if old.cell == entry.cell:
-                        known.free, known.kept = old.free, old.kept
+                        known.free, known.size, known.kept = old.free, old.size, old.kept
                 self.offices[entry.office] = known
             known.state, known.started, known.cell = entry.readiness, entry.started, entry.cell
             if fresh:
@@ -136,7 +135,8 @@
         known, report = self.offices.get(event.office), event.report
         if known is not None and report is not None and report.free is not None:
             self.look = self.look or report.free >= known.free
-            known.free, known.kept = report.free, max(1.0, RESERVE * (report.size or 0.0))
+            known.free, known.size = report.free, report.size or 0.0
+            known.kept = max(1.0, RESERVE * known.size)
 
     # -- calls come and go
 
@@ -268,7 +268,7 @@
             if cell not in ways:
                 dest = self.ready.get(cell)
                 ways[cell] = dest.free if dest is not None and self._open(now, dest) else -1.0
-            over = ways[cell] >= 0.0 and call.turned < 2 and now < call.aim_at
+            over = ways[cell] >= 0.0 and now < call.aim_at and (call.turned < 2 or not self.ready[cell].size)
             if (over or ways[cell] >= 1.0) and now >= call.ready_at:
                 moving.append(call)
         if not moving:
@@ -288,7 +288,7 @@
             self._send(now, call, dest, [dest])
             return
         short.add(dest.cell)
-        if second_rate or call.turned > 1 or now < dest.overflows:
+        if second_rate or (call.turned > 1 and dest.size) or now < dest.overflows:
             return
         tandems = [
             x for x in able
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -8,6 +8,7 @@
 
 from ospreybridge import Controller
 from ospreybridge import interface as i
+from ospreybridge.policy import POLL_LABEL
 from tests.helpers import CLASS, NOTHING, SETTINGS, Rig, only, sent_to
 
 
@@ -304,3 +305,44 @@
     assert sent_to(rig.call(ref=5, dest=1)) == [1]
     rig.say(i.Stands(5, 0, 101, 100.0))
     assert sent_to(rig.call(ref=6, dest=1)) == [1], "one good answer is enough"
+
+
+@pytest.mark.parametrize(("size", "tries"), [(20.0, 2), (0.0, 3)])
+def test_two_tandems_a_call_but_more_where_no_group_leads_to_the_destination(size: float, tries: int) -> None:
+    """For a pair without a group a tandem is the ordinary route, not overflow; attempts still bound it."""
+    rig = Rig(replace(SETTINGS, limits=replace(SETTINGS.limits, most_tries=4)), count=9)
+    rig.circuits(1, 0.0, size)
+    sends = len(only(rig.call(dest=1), i.Send))
+    for attempt in range(4):
+        sent = rig.controller.calls[1].sent_to if 1 in rig.controller.calls else None
+        if sent is None:
+            rig.say(i.Timer(POLL_LABEL), 900.0)
+            continue
+        answers = rig.ends(1, attempt, sent.cell, i.Result.FULL, i.Note.TURNED_BACK)
+        if tries == 3 and not sent_to(answers):
+            answers = rig.say(i.Timer(POLL_LABEL), 800.0)
+        sends += len(only(answers, i.Send))
+    assert sends == tries
+
+
+def test_turn_backs_in_a_row_pause_overflow_to_that_destination_only() -> None:
+    """A mark names one tandem; with dozens of them a full destination would be asked for again and again."""
+    rig = Rig(count=9)
+    rig.circuits(1, 0)
+    rig.circuits(2, 0)
+    for ref in range(1, 4):
+        for attempt, cell in enumerate(sent_to(rig.call(ref=ref, dest=1))):
+            rig.ends(ref, attempt, cell, i.Result.FULL, i.Note.TURNED_BACK)
+        rig.say(i.CallerLeft(ref))
+    assert rig.controller.offices[101].backs > 1
+    assert sent_to(rig.call(ref=9, dest=1)) == []
+    assert len(sent_to(rig.call(ref=10, dest=2))) == 1
+
+
+def test_transit_does_not_yield_to_calls_past_their_aim() -> None:
+    rig = Rig()
+    rig.groups(c1=0, c2=0, c3=0, c4=0)
+    rig.call(ref=1, dest=1, width=4.0, lasts=8_000)
+    rig.now += CLASS.on_time
+    rig.circuits(1, 3)
+    assert sent_to(rig.call(ref=2, dest=1, via=3, transit=True)) == [1]
