--- a/ospreybridge/policy.py
+++ b/ospreybridge/policy.py
@@ -240,7 +240,7 @@
         return worth
 
     def _open(self, now: float, to: Exchange) -> bool:
-        return now >= to.resumes and len(to.pending) < max(1, int(to.window))
+        return now >= to.resumes and (not to.pending or len(to.pending) + 1 <= to.window)
 
     def _usual(self, now: float) -> float:
         """Usual ms between own set-ups to one exchange: the list's mean, from all own set-ups of late."""
