--- a/ospreybridge/policy.py
+++ b/ospreybridge/policy.py
@@ -25,7 +25,7 @@
 WINDOW_TOP = 6.0  # most unanswered set-ups towards one exchange
 GOOD_DELAY = 0.12  # of the aim: a set-up answered within this widens the window
 BAD_DELAY = 0.25  # of the aim: one that took longer narrows it
-BACK_GAP = 0.25  # of the aim: no overflow to a destination, for each turn-back in a row after the first
+BACK_GAP = 0.1  # of the usual time: no overflow to a destination, for each turn-back in a row but the first
 NARROW = 0.6  # factor on the window after a bad sign, at most once per set-up sent since the last
 WINDOW_FLOOR = 0.2  # narrowest window: one set-up, then a gap of four times its duration
 THIN = 2.0  # most that both may grow where set-ups to one exchange are rare: one sign must count for more
@@ -390,7 +390,7 @@
                 self.marks[(path[0].cell, dest)] = now + MARK_AGE
                 # Marks name one tandem each; where there are dozens, all groups to a destination may be full.
                 path[1].backs += 1
-                gap = min(MARK_AGE, BACK_GAP * self.aim * (path[1].backs - 1))
+                gap = min(MARK_AGE, BACK_GAP * self._usual(now) * (path[1].backs - 1))
                 path[1].overflows = now + gap * self.random.uniform(0.5, 1.5)
         elif result is Result.MOOT and note is Note.PROCESSOR_FULL:  # the own processor is down
             self.own_resumes = now + max(event.wait, PAUSE * self.aim)
