--- a/ospreybridge/policy.py
+++ b/ospreybridge/policy.py
@@ -74,6 +74,7 @@
         check(settings)
         self.s, self.random = settings, Random(seed)
         self.mesh = settings.layout is Layout.MESH
+        self.own = Exchange(Entry(-1, settings.here))  # on the way of every own set-up: one window for all
         self.offices: dict[int, Exchange] = {}
         self.ready: dict[int, Exchange] = {}  # those that take calls, by number
         self.calls: dict[int, Call] = {}
@@ -84,6 +85,7 @@
         self.seen, self.seen_at = [0.0 for _ in settings.tenants], 0.0
         self.hold = max(1.0, min(kind.hold * kind.width for kind in settings.classes))
         self.aim = min(kind.on_time for kind in settings.classes)
+        self.suspects: list[Exchange] = []  # the way of the last bad sign
         self.recent: list[float] = []  # own sends of late, for what a warm exchange bears
         self.born = -1.0  # time of the first event
         self.polling, self.look, self.own_resumes = False, False, 0.0
@@ -99,7 +101,7 @@
         handler = self.handlers.get(type(event))
         if handler is not None:
             handler(now, event)
-        if self.look and self.waiting and now >= self.own_resumes:
+        if self.look and self.waiting and now >= self.own_resumes and self._open(now, self.own):
             self._dispatch(now)
         self._poll()
         out, self.out = self.out, []
@@ -242,9 +244,9 @@
     def _open(self, now: float, to: Exchange) -> bool:
         return now >= to.resumes and (not to.pending or len(to.pending) + 1 <= to.window)
 
-    def _usual(self, now: float) -> float:
+    def _usual(self, now: float, to: Exchange | None = None) -> float:
         """Usual ms between own set-ups to one exchange: the list's mean, from all own set-ups of late."""
-        each = len(self.offices) / (len(self.recent) + 1)
+        each = (len(self.offices) if to is not self.own else 1) / (len(self.recent) + 1)
         return min(USUAL_AGE, each * min(USUAL_AGE, max(now - self.born, self.aim)))
 
     def _cold_gap(self, now: float, x: Exchange) -> float:
@@ -280,7 +282,7 @@
             self._route(now, call, self.ready[call.request.dest], short, able)
 
     def _route(self, now: float, call: Call, dest: Exchange, short: set[int], able: list[Exchange]) -> None:
-        if not self._open(now, dest):
+        if not self._open(now, dest) or not (self._open(now, self.own) or call.request.transit):
             return
         second_rate = now >= call.aim_at
         direct = dest.cell not in short and self._room(dest, call, second_rate)
@@ -308,6 +310,7 @@
         limit = min(call.last - now, PATIENCE * (call.aim_at - now) if in_time else call.last)
         leg = (ref, call.attempts)
         self.legs[leg] = (path, now, call.request.dest)
+        self.own.pending[leg] = now
         for x in path:
             x.pending[leg] = now
             x.resumes = max(x.resumes, now + self._cold_gap(now, x) * self.random.uniform(0.5, 1.5))
@@ -326,35 +329,46 @@
             return
         path, _, dest = self.legs[leg]
         call = self.calls.get(event.ref)
-        for x in path:
-            self._answered(now, x, leg, event.took, call.kind.on_time if call is not None else self.aim)
+        for x in (*path, self.own):
+            self._answered(now, x, leg, event.took, call.kind.on_time if call else self.aim, path)
         if len(path) > 1:
             path[1].backs = 0
             self.marks.pop((path[0].cell, dest), None)
         if call is not None:
             call.stands = True
 
-    def _answered(self, now: float, x: Exchange, leg: tuple[int, int], took: float, aim: float) -> None:
+    def _answered(self, now: float, x: Exchange, leg: tuple[int, int], took: float, aim: float,
+                  path: list[Exchange]) -> None:
         self.look = True
         sent = x.pending.pop(leg, now)
-        usual = self._usual(now)
-        thin = aim * min(THIN, max(1.0, usual / self.aim))
+        usual = self._usual(now, x)
+        thin = aim * (THIN if x is self.own else min(THIN, max(1.0, usual / self.aim)))
         if took <= GOOD_DELAY * thin:
-            top = min(WINDOW_TOP, 1.0 + 2.0 * self.aim / usual)
+            top = 1.0 + 2.0 * self.aim / usual
+            top = max(WINDOW_START, top) if x is self.own else min(WINDOW_TOP, top)
             x.window = min(top, x.window + 1.0 / max(1.0, x.window))
         elif took > BAD_DELAY * thin:
-            self._narrow(now, x, sent, took)
+            self._narrow(now, x, sent, took, path)
         if x.told and x.window >= 1.0:
             x.told = False
             self.out.append(Remark(f"exchange {x.cell}: answers set-ups in time again"))
 
-    def _narrow(self, now: float, x: Exchange, sent: float, took: float) -> None:
+    def _narrow(self, now: float, x: Exchange, sent: float, took: float, path: list[Exchange]) -> None:
         """A bad sign: the window narrows, once for all set-ups sent before; below one it becomes a gap.
 
         Guards against silent, hung, slow, cold and flooded processors alike, and against many servers whose
         single set-ups are together too many. Harm: a far exchange behind a slow own processor is spared too.
+        The own exchange is on every way, so its window has the signs of all together and falls below what
+        is offered where a far one meets a set-up in seconds: it ends an overload of all processors, however
+        many there are. Signs in a row that share an exchange are that one's and leave it alone. Harm: half of
+        the exchanges silent at once look like an own trouble, and calls to the healthy half are slowed too.
         """
-        usual = self._usual(now)
+        if x is self.own:
+            known = not self.suspects or any(y in self.suspects for y in path)
+            self.suspects = path
+            if known:
+                return
+        usual = self._usual(now, x)
         if sent >= x.shrunk:
             x.window = max(WINDOW_FLOOR, NARROW * min(x.window, 1.0 + self.aim / usual))
             x.shrunk = now
@@ -373,19 +387,19 @@
         path, sent, dest = self.legs.pop(key)
         stood = key not in path[0].pending
         self.look = self.look or not stood
-        for x in path:
+        for x in (*path, self.own):
             x.pending.pop(key, None)
         result, note = event.result, event.note
         if result in (Result.TIMEOUT, Result.CONNECT_FAILED) and not stood:
-            for x in path:
-                self._narrow(now, x, sent, event.took)
+            for x in (*path, self.own):
+                self._narrow(now, x, sent, event.took, path)
         elif result is Result.FULL and note is Note.PROCESSOR_FULL:
             # It answers fast, so its gap is not measured by the answer: many servers would ask all the time.
-            self._narrow(now, path[0], sent, max(event.wait, PAUSE * self.aim))
+            self._narrow(now, path[0], sent, max(event.wait, PAUSE * self.aim), path)
             path[0].resumes = max(path[0].resumes, now + event.wait, now + PAUSE * self.aim)
         elif result is Result.FULL and note is Note.TURNED_BACK:
             if event.wait > 0:
-                self._narrow(now, path[-1], sent, PAUSE * self.aim)
+                self._narrow(now, path[-1], sent, PAUSE * self.aim, path)
             elif len(path) > 1:
                 self.marks[(path[0].cell, dest)] = now + MARK_AGE
                 # Marks name one tandem each; where there are dozens, all groups to a destination may be full.
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -346,3 +346,36 @@
     rig.now += CLASS.on_time
     rig.circuits(1, 3)
     assert sent_to(rig.call(ref=2, dest=1, via=3, transit=True)) == [1]
+
+
+def served(rig: Rig, cells: list[int], answer: float | None, refs: range) -> int:
+    """Calls to one exchange after another, each answered after that time or never; how many went."""
+    sends = 0
+    for ref in refs:
+        for send in only(rig.call(ref=ref, dest=cells[ref % len(cells)], lasts=2_500), i.Send):
+            sends += 1
+            cell = send.office - 100
+            if answer is None:
+                rig.ends(send.ref, 0, cell, i.Result.TIMEOUT, took=2_000.0)
+                rig.say(i.CallerLeft(send.ref))
+            else:
+                rig.say(i.Stands(send.ref, 0, cell, answer))
+        rig.say(i.CallerLeft(ref), 100.0)
+    return sends
+
+
+@pytest.mark.parametrize("count", [6, 60])
+def test_an_overload_of_all_exchanges_slows_all_own_set_ups_and_heals(count: int) -> None:
+    """With sixty exchanges no window of one sees two signs in a row, so the sum stayed at the offer."""
+    rig = Rig(count=count)
+    cells = list(range(1, count + 1))
+    assert served(rig, cells, 30.0, range(1_000, 1_100)) == 100
+    assert served(rig, cells, None, range(2_000, 2_100)) < 40, "far below what is offered"
+    assert served(rig, cells, 30.0, range(3_000, 3_100)) > 60, "and back soon"
+
+
+def test_one_silent_exchange_does_not_slow_calls_to_the_others() -> None:
+    rig = Rig(count=6)
+    assert served(rig, [1, 2, 3, 4, 5, 6], 30.0, range(1_000, 1_060)) == 60
+    served(rig, [1], None, range(2_000, 2_040))
+    assert served(rig, [2, 3, 4, 5, 6], 30.0, range(3_000, 3_060)) == 60
