A call that cannot or will not be sent again ends in that step, and a refusal says when to come back

Cause: calls to a destination not listed, past their aim to one without a group, barred by an effect after a doubtful attempt, or with too little time for a set-up sat until the timer before their deadline. Change: _waits decides it wherever a call would wait, and at each look; Refuse carries retry_after where allowed: as long again as the call waited, or until the next set-up may go; the longest allowed where the destination takes no calls. A set-up needs at least what set-ups usually take, so none is begun for a caller about to hang up.

--- a/ospreybridge/policy.py
+++ b/ospreybridge/policy.py
@@ -35,6 +35,7 @@
 COLD_MARGIN = 0.6  # of one server's part of the fail-back budget
 USUAL_AGE = 10_000.0  # ms of own set-ups that tell the usual pace, dozens of calls even at a small exchange
 MIX_AGE = 10_000.0  # ms half-life of the tenants' mix, long enough for dozens of calls
+SMOOTH = 0.1  # weight of the newest answer in the usual duration of a set-up
 POLL = 0.04  # of the smallest aim: how often waiting calls are looked at when nothing happens
 DOUBTFUL = (Result.TIMEOUT, Result.RESET, Result.CANCELLED)
 NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT)
@@ -59,7 +60,7 @@
     """One call this server owes an answer, from its arrival until it stands or ends."""
 
     def __init__(self, request: Request, kind: CallClass, now: float, spare: float) -> None:
-        self.request, self.kind, self.part, self.first = request, kind, 1.0, now
+        self.request, self.kind, self.part, self.first, self.came = request, kind, 1.0, now, now
         self.aim_at = min(now + kind.on_time, request.expires)
         self.last = request.expires - spare  # the last moment for an answer
         self.attempts, self.turned = 0, 0
@@ -87,6 +88,7 @@
         self.aim = min(kind.on_time for kind in settings.classes)
         self.suspects: list[Exchange] = []  # the way of the last bad sign
         self.recent: list[float] = []  # own sends of late, for what a warm exchange bears
+        self.setup = 0.0  # ms a set-up that stands usually takes
         self.born = -1.0  # time of the first event
         self.polling, self.look, self.own_resumes = False, False, 0.0
         self.out: list[Action] = [Follow(True)] if settings.discovery is Discovery.SUBSCRIBE else []
@@ -130,6 +132,7 @@
                         if x.state is not Readiness.GONE
                         and (office in listed or event.form is ListForm.DELTA)}
         self.ready = {x.cell: x for x in self.offices.values() if x.state is Readiness.READY}
+        self._sweep(now)
         for x in started:  # all servers hear of a start at about the same time: each begins at its own
             x.window, x.resumes = WINDOW_START, now + self._cold_gap(now, x) * self.random.random()
 
@@ -151,8 +154,8 @@
         stray = call.last <= now or request.dest == self.s.here
         if stray or (request.transit and not self._transit(now, call)):
             self._end(now, call)
-        elif not request.transit:
-            self.waiting[request.ref], self.look = call, True
+        elif not request.transit and self._waits(now, call):
+            self.look = True
             self.out.append(Remind(request.ref, call.last - now))
 
     def _redial(self, now: float, call: Call) -> None:
@@ -199,14 +202,35 @@
         self._send(now, call, dest, [dest])
         return True
 
+    def _waits(self, now: float, call: Call) -> bool:
+        """A call waits while it can and will be tried; else it ends in this step, with advice when to return.
+
+        Guards against calls held for nothing: a destination that takes no calls, an effect that forbids
+        another attempt, too little time for a set-up (callers who hang up early), and past the aim a pair
+        without a group. Harm: an exchange back within the caller's time is found by a redial only.
+        """
+        start, dest, kind = max(now, call.ready_at), self.ready.get(call.request.dest), call.kind
+        bound = call.doubt and kind.semantics is not Semantics.FREE and (
+            kind.semantics is Semantics.SINGLE_SHOT or start >= call.group_end or call.group_of is None
+            or (kind.group is Group.CELL and call.group_of.cell not in self.ready))
+        late = dest is not None and start >= call.aim_at and max(dest.free, dest.size) < call.request.width
+        if dest is None or bound or late or start + self.setup > call.last:
+            self._end(now, call)
+            return False
+        self.waiting[call.request.ref] = call
+        return True
+
     def _end(self, now: float, call: Call) -> None:
-        ref = call.request.ref
+        ref, limits, dest = call.request.ref, self.s.limits, self.ready.get(call.request.dest)
         self.calls.pop(ref, None)
         self.waiting.pop(ref, None)
         self._unserved(now, call)
         guarded_by_all = call.kind.semantics is Semantics.GUARDED and call.kind.group is Group.ALL
         harmless = not call.doubt or call.kind.semantics is Semantics.FREE or guarded_by_all
-        self.out.append(Refuse(ref) if harmless else Fail(ref))
+        # Back after as long again as it waited in vain, or when the next set-up may go.
+        wait = max(now - call.came, dest.resumes - now, self.own.resumes - now) if dest else float("inf")
+        advice = min(wait, limits.max_retry_after) if limits.retry_after and not call.request.transit else 0.0
+        self.out.append(Refuse(ref, advice) if harmless else Fail(ref))
 
     def _may_send(self, now: float, call: Call, to: Exchange) -> bool:
         """Once an attempt may have run, classes with an effect bind where and when the next may go."""
@@ -336,6 +360,8 @@
             self.marks.pop((path[0].cell, dest), None)
         if call is not None:
             call.stands = True
+        if call is not None and not call.request.transit:
+            self.setup += SMOOTH * (event.took - self.setup)
 
     def _answered(self, now: float, x: Exchange, leg: tuple[int, int], took: float, aim: float,
                   path: list[Exchange]) -> None:
@@ -426,7 +452,7 @@
         if spent or call.request.transit or result is Result.ERROR:
             self._end(now, call)
         else:
-            self.waiting[event.ref] = call
+            self._waits(now, call)
 
     # -- time
 
@@ -435,9 +461,14 @@
             self.polling = True
             self.out.append(Remind(POLL_LABEL, max(self.s.tick, POLL * self.aim)))
 
+    def _sweep(self, now: float) -> None:
+        for call in list(self.waiting.values()):
+            self._waits(now, call)
+
     def _timer(self, now: float, event: Timer) -> None:
         if event.label == POLL_LABEL:
             self.polling, self.look = False, True
+            self._sweep(now)
         elif event.label == POLL_LABEL + 1:
             self.out.append(Follow(True))
         elif event.label in self.waiting:
