Full groups are told to the peers and mark the tandem; after a turn-back the centre's tandem goes first

Where calls carry advice: if this call, or the last one over a tandem to that destination, was turned back, the advised tandem is taken if open. Should also cover a tandem that lost its circuits; harm: news is seconds old, a few bytes a call. Lost or garbled messages change nothing. The own processor's pause is folded into the own window.

--- a/ospreybridge/policy.py
+++ b/ospreybridge/policy.py
@@ -13,11 +13,12 @@
 
 from ospreybridge.interface import (
     Action, CallClass, CallerLeft, Cancel, Discovery, Entry, Event, Fail, Follow, Group, Layout, ListForm,
-    Members, Note, Outcome, Probed, Readiness, Refuse, Remark, Remind, Request, Result, Semantics,
-    Send, Settings, Stands, Timer,
+    Members, Note, Outcome, Peer, Probed, Readiness, Refuse, Remark, Remind, Request, Result, Semantics,
+    Send, Settings, Stands, Tell, Timer,
 )
 
 MARK_AGE = 10_000.0  # ms a turn-back keeps (tandem, destination) marked; the design's own value
+NEWS_EVERY = 0.5  # of the mark's age: time between messages to the peers on the own full groups
 SPARE_TICKS = 2.0  # ticks kept before a caller's time ends, so that the last answer is in time
 CUT_WORTH = 2.0  # times the worth of a call that was cut and comes again: without it all it earned is lost
 RESERVE = 0.1  # share of a group kept free of overflow, transit and second-rate calls (trunk reservation)
@@ -90,11 +91,11 @@
         self.recent: list[float] = []  # own sends of late, for what a warm exchange bears
         self.setup = 0.0  # ms a set-up that stands usually takes
         self.born = -1.0  # time of the first event
-        self.polling, self.look, self.own_resumes = False, False, 0.0
+        self.polling, self.look = False, False
         self.out: list[Action] = [Follow(True)] if settings.discovery is Discovery.SUBSCRIBE else []
         self.handlers: dict[type, Callable[[float, Any], None]] = {
             Request: self._request, Stands: self._stands, Outcome: self._outcome, Probed: self._circuits,
-            Members: self._members, CallerLeft: self._left, Timer: self._timer,
+            Members: self._members, CallerLeft: self._left, Timer: self._timer, Peer: self._peer,
         }
 
     def handle(self, now: float, event: Event) -> list[Action]:
@@ -103,7 +104,9 @@
         handler = self.handlers.get(type(event))
         if handler is not None:
             handler(now, event)
-        if self.look and self.waiting and now >= self.own_resumes and self._open(now, self.own):
+        for call in list(self.waiting.values()) if type(event) in (Members, Timer) else ():
+            self._waits(now, call)
+        if self.look and self.waiting and self._open(now, self.own):
             self._dispatch(now)
         self._poll()
         out, self.out = self.out, []
@@ -115,6 +118,8 @@
         if event.form is ListForm.FAILED:
             self.out.append(Remind(POLL_LABEL + 1, self.s.rules.ask_within * self.random.uniform(0.1, 0.3)))
             return
+        if not self.offices and self.mesh and self.s.limits.peer_messages:
+            self.out.append(Remind(POLL_LABEL + 2, self.aim * self.random.random() + self.s.tick))
         listed, started = {entry.office for entry in event.entries}, []
         for entry in event.entries:
             known = self.offices.get(entry.office)
@@ -132,7 +137,6 @@
                         if x.state is not Readiness.GONE
                         and (office in listed or event.form is ListForm.DELTA)}
         self.ready = {x.cell: x for x in self.offices.values() if x.state is Readiness.READY}
-        self._sweep(now)
         for x in started:  # all servers hear of a start at about the same time: each begins at its own
             x.window, x.resumes = WINDOW_START, now + self._cold_gap(now, x) * self.random.random()
 
@@ -143,6 +147,21 @@
             known.free, known.size = report.free, report.size or 0.0
             known.kept = max(1.0, RESERVE * known.size)
 
+    def _tell(self) -> None:
+        """Tells the peers to which numbers nothing can go on from here; they mark it as if turned back.
+
+        Guards against dozens of tandems found full one by one. Harm: seconds old; a lost one changes nothing.
+        """
+        full = sum(1 << x.cell for x in self.ready.values() if x.free < 1.0 + x.kept and x.cell < 2_000)
+        body = self.s.here.to_bytes(2, "little") + full.to_bytes(full.bit_length() // 8 + 1, "little")
+        again = Remind(POLL_LABEL + 2, NEWS_EVERY * MARK_AGE * self.random.uniform(0.9, 1.1))
+        self.out += [Tell(None, body), again]
+
+    def _peer(self, now: float, event: Peer) -> None:
+        sender, full = int.from_bytes(event.body[:2], "little"), int.from_bytes(event.body[2:], "little")
+        for cell in self.ready if len(event.body) > 2 and sender in self.ready else ():
+            self.marks[(sender, cell)] = now + MARK_AGE * (full >> cell & 1)
+
     # -- calls come and go
 
     def _request(self, now: float, request: Request) -> None:
@@ -209,12 +228,10 @@
         another attempt, too little time for a set-up (callers who hang up early), and past the aim a pair
         without a group. Harm: an exchange back within the caller's time is found by a redial only.
         """
-        start, dest, kind = max(now, call.ready_at), self.ready.get(call.request.dest), call.kind
-        bound = call.doubt and kind.semantics is not Semantics.FREE and (
-            kind.semantics is Semantics.SINGLE_SHOT or start >= call.group_end or call.group_of is None
-            or (kind.group is Group.CELL and call.group_of.cell not in self.ready))
-        late = dest is not None and start >= call.aim_at and max(dest.free, dest.size) < call.request.width
-        if dest is None or bound or late or start + self.setup > call.last:
+        start, dest = max(now, call.ready_at), self.ready.get(call.request.dest)
+        barred = dest is None or not self._may_send(start, call, call.group_of or dest)
+        late = dest and start >= call.aim_at and max(dest.free, dest.size) < call.request.width
+        if barred or late or start + self.setup > call.last:
             self._end(now, call)
             return False
         self.waiting[call.request.ref] = call
@@ -240,7 +257,7 @@
             return False
         if call.kind.group is Group.ZONE:
             return to.zone == call.group_of.zone
-        return call.kind.group is Group.ALL or to.cell == call.group_of.cell
+        return call.kind.group is Group.ALL or (to.cell == call.group_of.cell and to.cell in self.ready)
 
     def _left(self, now: float, event: CallerLeft) -> None:
         call = self.calls.pop(event.ref, None)
@@ -306,7 +323,7 @@
             self._route(now, call, self.ready[call.request.dest], short, able)
 
     def _route(self, now: float, call: Call, dest: Exchange, short: set[int], able: list[Exchange]) -> None:
-        if not self._open(now, dest) or not (self._open(now, self.own) or call.request.transit):
+        if not self._open(now, dest) or not self._open(now, self.own):
             return
         second_rate = now >= call.aim_at
         direct = dest.cell not in short and self._room(dest, call, second_rate)
@@ -325,6 +342,9 @@
         if tandems:
             most = max(x.free for x in tandems)
             tandem = self.random.choice([x for x in tandems if x.free == most])
+            # Here only the first leg is seen; after a turn-back the centre, late, knows more of the second.
+            if self.s.advice and (call.turned or dest.backs):
+                tandem = next((x for x in tandems if x.cell == call.request.via), tandem)
             self._send(now, call, tandem, [tandem, dest] if self.mesh else [tandem])
 
     def _send(self, now: float, call: Call, to: Exchange, path: list[Exchange]) -> None:
@@ -360,8 +380,7 @@
             self.marks.pop((path[0].cell, dest), None)
         if call is not None:
             call.stands = True
-        if call is not None and not call.request.transit:
-            self.setup += SMOOTH * (event.took - self.setup)
+            self.setup += 0.0 if call.request.transit else SMOOTH * (event.took - self.setup)
 
     def _answered(self, now: float, x: Exchange, leg: tuple[int, int], took: float, aim: float,
                   path: list[Exchange]) -> None:
@@ -433,7 +452,7 @@
                 gap = min(MARK_AGE, BACK_GAP * self._usual(now) * (path[1].backs - 1))
                 path[1].overflows = now + gap * self.random.uniform(0.5, 1.5)
         elif result is Result.MOOT and note is Note.PROCESSOR_FULL:  # the own processor is down
-            self.own_resumes = now + max(event.wait, PAUSE * self.aim)
+            self.own.resumes = max(self.own.resumes, now + max(event.wait, PAUSE * self.aim))
         call = self.calls.get(event.ref)
         if call is None or call.attempts - 1 != event.attempt:
             return
@@ -461,16 +480,13 @@
             self.polling = True
             self.out.append(Remind(POLL_LABEL, max(self.s.tick, POLL * self.aim)))
 
-    def _sweep(self, now: float) -> None:
-        for call in list(self.waiting.values()):
-            self._waits(now, call)
-
     def _timer(self, now: float, event: Timer) -> None:
         if event.label == POLL_LABEL:
             self.polling, self.look = False, True
-            self._sweep(now)
         elif event.label == POLL_LABEL + 1:
             self.out.append(Follow(True))
+        elif event.label == POLL_LABEL + 2:
+            self._tell()
         elif event.label in self.waiting:
             self._end(now, self.waiting[event.label])
 
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -425,3 +425,49 @@
     assert served(rig, [1, 2, 3, 4, 5, 6], 30.0, range(1_000, 1_060)) == 60
     served(rig, [1], None, range(2_000, 2_040))
     assert served(rig, [2, 3, 4, 5, 6], 30.0, range(3_000, 3_060)) == 60
+
+
+def test_the_advised_tandem_goes_first_only_after_a_turn_back() -> None:
+    """The tandem with the emptiest first leg often has no way on, and nobody here sees it."""
+    rig = Rig(replace(SETTINGS, advice=True))
+    rig.groups(c1=0, c2=9, c3=15, c4=12)
+    assert sent_to(rig.call(ref=1, dest=1, via=2)) == [3]
+    assert sent_to(rig.ends(1, 0, 3, i.Result.FULL, i.Note.TURNED_BACK)) == [2]
+    rig.say(i.Stands(1, 1, 102, 30.0))
+    assert sent_to(rig.call(ref=2, dest=1, via=2)) == [4], "one stood: the ordinary choice again"
+
+
+TALKING = replace(SETTINGS, limits=replace(SETTINGS.limits, peer_messages=True))
+
+
+def test_full_groups_are_told_to_the_peers_and_mark_the_tandem_there() -> None:
+    """With dozens of tandems a call found them full one by one; the one that is full knows it."""
+    teller, rig = Rig(replace(TALKING, here=3)), Rig(TALKING)
+    for cell, free in ((1, 0.0), (2, 9.0), (0, 9.0), (4, 1.0)):
+        teller.circuits(cell, free)
+    told = teller.say(i.Timer(POLL_LABEL + 2))
+    news = only(told, i.Tell)[0]
+    assert news.peer is None and only(told, i.Remind), "and again later"
+    rig.groups(c1=0, c2=9, c3=15, c4=12)
+    rig.say(i.Peer(3, news.body))
+    assert sent_to(rig.call(ref=1, dest=1)) == [4]
+    rig.circuits(2, 0)
+    assert sent_to(rig.call(ref=2, dest=2)) == [3], "there it can go on"
+    teller.circuits(1, 9.0)
+    rig.say(i.Peer(3, only(teller.say(i.Timer(POLL_LABEL + 2)), i.Tell)[0].body))
+    assert sent_to(rig.call(ref=3, dest=1)) == [3], "room again"
+
+
+@pytest.mark.parametrize("body", [b"", b"\x03", b"\x03\x00", b"\xff" * 256, b"\x63\x00\xff"])
+def test_garbled_messages_harm_nothing(body: bytes) -> None:
+    rig = Rig(TALKING)
+    rig.groups(c1=0, c2=9, c3=15, c4=12)
+    assert rig.say(i.Peer(9, body)) == NOTHING
+    assert sent_to(rig.call(dest=1)) == [3]
+
+
+def test_no_message_where_none_is_allowed() -> None:
+    entries = (i.Entry(101, 1), i.Entry(102, 2))
+    for world, asked in ((SETTINGS, False), (TALKING, True)):
+        first = Controller(world, 1).handle(0.0, i.Members(i.ListForm.FULL, 1, entries))
+        assert bool(only(first, i.Remind)) == asked
