The own window narrows by two signs in a row only, and far exchanges are not blamed while it is narrow

Servers with a slow processor of their own blamed every exchange, and one bad answer in three held the own window of the others down. Change: a good answer clears the suspicion; while the own window is under one, no far window narrows.

--- a/ospreybridge/policy.py
+++ b/ospreybridge/policy.py
@@ -389,6 +389,7 @@
         usual = self._usual(now, x)
         thin = aim * (THIN if x is self.own else min(THIN, max(1.0, usual / self.aim)))
         if took <= GOOD_DELAY * thin:
+            self.suspects = []
             top = 1.0 + 2.0 * self.aim / usual
             top = max(WINDOW_START, top) if x is self.own else min(WINDOW_TOP, top)
             x.window = min(top, x.window + 1.0 / max(1.0, x.window))
@@ -405,14 +406,16 @@
         single set-ups are together too many. Harm: a far exchange behind a slow own processor is spared too.
         The own exchange is on every way, so its window has the signs of all together and falls below what
         is offered where a far one meets a set-up in seconds: it ends an overload of all processors, however
-        many there are. Signs in a row that share an exchange are that one's and leave it alone. Harm: half of
-        the exchanges silent at once look like an own trouble, and calls to the healthy half are slowed too.
+        many there are. It takes two signs in a row that share no exchange, with no good answer between; while it
+        is under one, no other is blamed. Harm: half the exchanges silent at once slow calls to the rest too.
         """
         if x is self.own:
             known = not self.suspects or any(y in self.suspects for y in path)
             self.suspects = path
             if known:
                 return
+        elif self.own.window < 1.0:  # the own processor is slow, or all are: not this one's fault
+            return
         usual = self._usual(now, x)
         if sent >= x.shrunk:
             x.window = max(WINDOW_FLOOR, NARROW * min(x.window, 1.0 + self.aim / usual))
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -471,3 +471,19 @@
     for world, asked in ((SETTINGS, False), (TALKING, True)):
         first = Controller(world, 1).handle(0.0, i.Members(i.ListForm.FULL, 1, entries))
         assert bool(only(first, i.Remind)) == asked
+
+
+def test_a_slow_own_processor_is_not_blamed_on_the_others() -> None:
+    """A server with a slow processor had every exchange in a trickle, long after it was well again."""
+    rig = Rig(count=20)
+    served(rig, list(range(1, 21)), None, range(1_000, 1_060))
+    assert rig.controller.own.window < 1.0
+    assert sum(x.window < 1.0 for x in rig.controller.offices.values()) < 10
+
+
+def test_silent_exchanges_between_good_ones_leave_the_own_window_open() -> None:
+    """A third of the exchanges slow, the rest idle: the healthy ones must not be shut out with them."""
+    rig = Rig(count=20)
+    for ref in range(1_000, 1_090):
+        served(rig, [1 + ref % 10], None if ref % 3 == 0 else 30.0, range(ref, ref + 1))
+    assert rig.controller.own.window > 3.0
