--- a/ospreybridge/policy.py
+++ b/ospreybridge/policy.py
@@ -406,8 +406,8 @@
         single set-ups are together too many. Harm: a far exchange behind a slow own processor is spared too.
         The own exchange is on every way, so its window has the signs of all together and falls below what
         is offered where a far one meets a set-up in seconds: it ends an overload of all processors, however
-        many there are. It takes two signs in a row that share no exchange, with no good answer between; while it
-        is under one, no other is blamed. Harm: half the exchanges silent at once slow calls to the rest too.
+        many there are. It takes two signs in a row that share no exchange, no good answer between; while it
+        is under one no other is blamed. Harm: half the exchanges silent at once slow calls to the rest too.
         """
         if x is self.own:
             known = not self.suspects or any(y in self.suspects for y in path)
