--- a/ospreybridge/policy.py
+++ b/ospreybridge/policy.py
@@ -160,7 +160,8 @@
     def _peer(self, now: float, event: Peer) -> None:
         sender, full = int.from_bytes(event.body[:2], "little"), int.from_bytes(event.body[2:], "little")
         for cell in self.ready if len(event.body) > 2 and sender in self.ready else ():
-            self.marks[(sender, cell)] = now + MARK_AGE * (full >> cell & 1)
+            if full >> cell & 1:
+                self.marks[(sender, cell)] = now + 1.5 * NEWS_EVERY * MARK_AGE
 
     # -- calls come and go
 
@@ -389,7 +390,6 @@
         usual = self._usual(now, x)
         thin = aim * (THIN if x is self.own else min(THIN, max(1.0, usual / self.aim)))
         if took <= GOOD_DELAY * thin:
-            self.suspects = []
             top = 1.0 + 2.0 * self.aim / usual
             top = max(WINDOW_START, top) if x is self.own else min(WINDOW_TOP, top)
             x.window = min(top, x.window + 1.0 / max(1.0, x.window))
@@ -406,8 +406,8 @@
         single set-ups are together too many. Harm: a far exchange behind a slow own processor is spared too.
         The own exchange is on every way, so its window has the signs of all together and falls below what
         is offered where a far one meets a set-up in seconds: it ends an overload of all processors, however
-        many there are. It takes two signs in a row that share no exchange, no good answer between; while it
-        is under one no other is blamed. Harm: half the exchanges silent at once slow calls to the rest too.
+        many there are. It takes two bad signs in a row that share no exchange; while it is under one
+        no other is blamed. Harm: a third of the exchanges silent at once slows calls to the rest too.
         """
         if x is self.own:
             known = not self.suspects or any(y in self.suspects for y in path)
