--- a/ospreybridge/policy.py
+++ b/ospreybridge/policy.py
@@ -344,7 +344,7 @@
             most = max(x.free for x in tandems)
             tandem = self.random.choice([x for x in tandems if x.free == most])
             # Here only the first leg is seen; after a turn-back the centre, late, knows more of the second.
-            if self.s.advice and (call.turned or dest.backs):
+            if self.s.advice and (call.turned or dest.backs > 1):
                 tandem = next((x for x in tandems if x.cell == call.request.via), tandem)
             self._send(now, call, tandem, [tandem, dest] if self.mesh else [tandem])
 
