--- a/ospreybridge/cli/main.py
+++ b/ospreybridge/cli/main.py
@@ -13,6 +13,7 @@
 
 import click
 
+from ospreybridge.keys.material import MaterialError
 from ospreybridge.settings.reader import SettingsError
 from ospreybridge.settings.server import Server, load
 
@@ -73,7 +74,7 @@
 @main.command()
 @click.argument("file", type=FILE)
 @click.option("--capture", type=OUT, help="Write every frame as a pcapng that Wireshark opens.")
-@click.option("--port-file", type=OUT, help="Write the port that is listened on, once it is.")
+@click.option("--port-file", type=OUT, help="Write the port listened on; the TLS one if there is one.")
 @click.option("--log", "form", type=click.Choice(["json", "text"]), default="json", show_default=True)
 @click.option("--log-calls", is_flag=True, help="Log each step of each call with its reference.")
 def serve(file: Path, capture: Path | None, port_file: Path | None, form: str, log_calls: bool) -> None:
@@ -100,10 +101,14 @@
     try:
         daemon = Daemon(settings, logger(form, settings.name), log_calls, record)
     except OSError as error:
-        click.echo(f"{file}: exchange listen: {error}", err=True)
+        click.echo(f"{file}: listen: {error}", err=True)
+        sys.exit(2)
+    except MaterialError as error:
+        for fault in error.faults:
+            click.echo(f"{file}: tls: {fault}", err=True)
         sys.exit(2)
     if port_file is not None:
-        port_file.write_text(f"{daemon.front.port}\n")
+        port_file.write_text(f"{daemon.front.tls_port or daemon.front.port}\n")
     code = daemon.run()
     if writer is not None:
         writer.close()
--- a/ospreybridge/core/association.py
+++ b/ospreybridge/core/association.py
@@ -31,6 +31,8 @@
     def received(self, association: Association, data: Data) -> None: ...
     def told(self, association: Association, message: Message) -> None: ...
     def end(self, association: Association, reason: str) -> None: ...
+    def stranger(self, association: Association, identifier: int) -> None: ...
+    def may_take_over(self, association: Association) -> bool: ...
 
 
 class Association:
@@ -42,9 +44,12 @@
         network: int,
         peers: dict[int, Peer],
         dialled: Peer | None = None,
+        takes_over: bool = False,
     ) -> None:
+        """`peers`: who may be at the far end. `takes_over`: it follows an active one, in override mode."""
         self.owner, self.send, self.here, self.network, self.peers = owner, send, here, network, peers
         self.peer, self.dialled = dialled, dialled is not None
+        self.takes_over = takes_over
         self.state = Asp.DOWN
         self.errors = 0
         self.beats: dict[bytes, Callable[[bool], None]] = {}
@@ -53,7 +58,7 @@
             m3ua.ASPUP: self._up, m3ua.ASPDN: self._down, m3ua.BEAT: self._beat,
             m3ua.ASPUP_ACK: self._up_ack, m3ua.ASPDN_ACK: self._ignored, m3ua.BEAT_ACK: self._beat_ack,
             m3ua.ASPAC: self._activate, m3ua.ASPIA: self._inactivate, m3ua.ASPAC_ACK: self._active_ack,
-            m3ua.ASPIA_ACK: self._ignored, m3ua.ERR: self._told, m3ua.NTFY: self._ignored,
+            m3ua.ASPIA_ACK: self._ignored, m3ua.ERR: self._told, m3ua.NTFY: self._notified,
             m3ua.DAUD: self._audit, m3ua.DUPU: self._told,
             m3ua.DAVA: self._told, m3ua.DUNA: self._told, m3ua.DRST: self._told, m3ua.SCON: self._told,
         }  # fmt: skip
@@ -142,6 +147,7 @@
             raise MessageError("ASPUP without an ASP identifier", m3ua.ASP_ID_REQUIRED)
         peer = self.peers.get(identifier)
         if peer is None or peer.dial is not None or (self.peer is not None and self.peer is not peer):
+            self.owner.stranger(self, identifier)
             raise MessageError(f"ASP identifier {identifier} is nobody who dials here", m3ua.INVALID_ASP_ID)
         self.peer = peer
         again = self.state is Asp.ACTIVE
@@ -151,10 +157,14 @@
             self.send(m3ua.error(m3ua.UNEXPECTED))
         self._notify(m3ua.AS_INACTIVE)
 
-    def _notify(self, status: int) -> None:
+    def taken_over(self) -> None:
+        """Tells the far end that nothing more comes here: the newer association carries it."""
+        self._notify(m3ua.ALTERNATE_ACTIVE, m3ua.OTHER)
+
+    def _notify(self, status: int, kind: int = 1) -> None:
         assert self.peer is not None
         given = [
-            (m3ua.STATUS, m3ua.word(1 << 16 | status)),
+            (m3ua.STATUS, m3ua.word(kind << 16 | status)),
             (m3ua.ROUTING_CONTEXT, m3ua.word(self.peer.context)),
         ]
         self.send(m3ua.encode(m3ua.NTFY, given))
@@ -170,7 +180,11 @@
         if self.state is Asp.DOWN or self.peer is None or self.dialled:
             raise MessageError("ASPAC before ASPUP", m3ua.UNEXPECTED)
         context = self._context(message)
-        given = [(m3ua.TRAFFIC_MODE, m3ua.word(m3ua.LOADSHARE)), (m3ua.ROUTING_CONTEXT, m3ua.word(context))]
+        mode = message.number(m3ua.TRAFFIC_MODE) or m3ua.LOADSHARE
+        self.takes_over = mode == m3ua.OVERRIDE
+        if self.takes_over and not self.owner.may_take_over(self):
+            raise MessageError("override without an active association", m3ua.UNSUPPORTED_MODE)
+        given = [(m3ua.TRAFFIC_MODE, m3ua.word(mode)), (m3ua.ROUTING_CONTEXT, m3ua.word(context))]
         self.send(m3ua.encode(m3ua.ASPAC_ACK, given))
         self._notify(m3ua.AS_ACTIVE)
         self._to(Asp.ACTIVE)
@@ -203,8 +217,9 @@
             self.owner.end(self, f"dialled {self.peer.point_code}, found {identifier}")
             return
         self.state = Asp.INACTIVE
+        mode = m3ua.OVERRIDE if self.takes_over else m3ua.LOADSHARE
         given = [
-            (m3ua.TRAFFIC_MODE, m3ua.word(m3ua.LOADSHARE)),
+            (m3ua.TRAFFIC_MODE, m3ua.word(mode)),
             (m3ua.ROUTING_CONTEXT, m3ua.word(self.peer.context)),
         ]
         self.send(m3ua.encode(m3ua.ASPAC, given))
@@ -230,5 +245,9 @@
             message.affected()
         self.owner.told(self, message)
 
+    def _notified(self, message: Message) -> None:
+        if message.number(m3ua.STATUS) == m3ua.OTHER << 16 | m3ua.ALTERNATE_ACTIVE:
+            self.owner.told(self, message)
+
     def _ignored(self, message: Message) -> None:
         pass
--- /dev/null
+++ b/ospreybridge/core/handshakes.py
@@ -0,0 +1,87 @@
+"""Which handshakes may run, when their next step may, and when a failing peer is dialled again. No I/O.
+
+A step of a handshake holds the loop for as long as its signatures take. So steps are booked one after the
+other with a gap in proportion to what they cost: set-ups on standing links keep the rest of the processor,
+however many peers come at once.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import OrderedDict
+
+SHARE = 0.2  # of the loop's time for handshakes while they are many: four fifths stay with calls
+FIRST_COST = 0.5  # ms of a step before any was measured: about one signature and two verifications
+LEARNS = 0.1  # weight of the newest step in the measured cost
+LONGEST_COST = 50.0  # ms; a step beyond it met a processor that was away, which says nothing of the next one
+PATIENCE = 250.0  # ms a handshake may wait for its peer before a newcomer may take its slot: some round trips
+DIALLING = 8  # handshakes of our own at once: a restart with many peers shakes hands a few at a time
+DOUBLINGS = 6  # of the pause after failures in a row; with the usual half second half a minute
+JITTER = 0.5  # of a pause is drawn, so that servers that failed together don't come back together
+
+
+def backoff(pause: float, failures: int, draw: random.Random) -> float:
+    """The pause after so many failures in a row, in the unit of `pause`."""
+    doubled = pause * 2.0 ** min(failures - 1, DOUBLINGS)
+    return doubled * (1 - JITTER / 2 + JITTER * draw.random())
+
+
+class Handshakes:
+    def __init__(self, slots: int, seed: int) -> None:
+        self.slots = slots
+        self.random = random.Random(seed)
+        self.inbound: OrderedDict[int, float] = (
+            OrderedDict()
+        )  # when each last made progress, oldest first
+        self.dialling = 0
+        self.cost, self.free_at = FIRST_COST, 0.0
+        self.failures: dict[int, int] = {}  # in a row, by point code
+
+    # -- slots
+
+    def begin(self, now: float, key: int) -> tuple[bool, int | None]:
+        """Whether a connection that came in may shake hands, and whose slot it takes, if somebody's.
+
+        A peer that stops in the middle keeps its slot only while nobody else needs it.
+        """
+        stale = None
+        if len(self.inbound) >= self.slots:
+            stale, since = next(iter(self.inbound.items()))
+            if now - since < PATIENCE:
+                return False, None
+            del self.inbound[stale]
+        self.inbound[key] = now
+        return True, stale
+
+    def progressed(self, now: float, key: int) -> None:
+        if key in self.inbound:
+            self.inbound[key] = now
+            self.inbound.move_to_end(key)
+
+    def end(self, key: int) -> None:
+        self.inbound.pop(key, None)
+
+    def may_dial(self) -> bool:
+        return self.dialling < DIALLING
+
+    # -- pace
+
+    def book(self, now: float) -> float:
+        """The moment for the next step; each call books one. Never before `now`."""
+        at = max(now, self.free_at)
+        self.free_at = at + self.cost / SHARE
+        return at
+
+    def took(self, cost: float) -> None:
+        """Milliseconds of a step."""
+        self.cost += LEARNS * (min(cost, LONGEST_COST) - self.cost)
+
+    # -- failures
+
+    def failed(self, peer: int, pause: float) -> float:
+        """How long to wait before this peer is dialled again; `pause` and the answer in milliseconds."""
+        count = self.failures[peer] = self.failures.get(peer, 0) + 1
+        return backoff(pause, count, self.random)
+
+    def succeeded(self, peer: int) -> None:
+        self.failures.pop(peer, None)
--- a/ospreybridge/daemon/daemon.py
+++ b/ospreybridge/daemon/daemon.py
@@ -46,8 +46,11 @@
         self.loop.on_signals(
             {signal.SIGTERM: self.stop, signal.SIGINT: self.stop, signal.SIGHUP: self.reload}
         )
-        host = self.s.listen[0] if self.s.listen else ""
-        self.log("serving", exchange=self.s.name, listen=f"{host}:{self.front.port}" if host else "nowhere")
+        at = {"plain": (self.s.listen, self.front.port)}
+        if self.s.tls is not None:
+            at["tls"] = (self.s.tls.listen, self.front.tls_port)
+        listens = {name: f"{address[0]}:{port}" for name, (address, port) in at.items() if address}
+        self.log("serving", exchange=self.s.name, listen=listens or "nowhere")
         # What stands for long is not walked through again and again: the call path makes no cycles, and a
         # full collection over tens of thousands of standing calls would hold every set-up for that long.
         gc.collect()
@@ -78,7 +81,9 @@
         self.loop.running = False
 
     def reload(self) -> None:
-        """Takes the tables of the file anew, or says why not and keeps the old ones."""
+        """Takes keys and the tables of the file anew, or says why not and keeps the old ones."""
+        if self.front.keys is not None:
+            self.front.look_at_keys(self.front.keys, force=True)
         try:
             new = load(Path(self.s.path))
         except SettingsError as error:
--- a/ospreybridge/lab/day.py
+++ b/ospreybridge/lab/day.py
@@ -20,11 +20,14 @@
 import numpy as np
 from hdrh.histogram import HdrHistogram
 
+from ospreybridge.keys.authority import Authority
 from ospreybridge.lab import tap
 from ospreybridge.lab.checker import Checker, Facts, Verdict
 from ospreybridge.lab.harness import CALLERS, CENTRE, LIST, OFFICE
+from ospreybridge.lab.relay import DOMAIN, SHARED, shared_set
 from ospreybridge.lab.script import Day, Trouble
 from ospreybridge.net.loop import Loop, Task
+from ospreybridge.net.tls import Contexts
 from ospreybridge.settings.server import Peer, circuits
 from ospreybridge.signalling import m3ua
 from ospreybridge.standins.callers import Callers
@@ -94,6 +97,9 @@
         self.numbers = range(1, self.count + 1)
         zones = day.fleet["zones"]
         self.servers = {n: Server(n, (n - 1) % zones, folder / f"cs{n}.kdl") for n in self.numbers}
+        self.contexts: Contexts | None = None
+        if day.fleet["tls"]:
+            self._certify()
         self.relays: list[subprocess.Popen[bytes]] = []
         self.taps: list[Path] = []
         self.ports: dict[tuple[int, int], int] = {}  # the relays' port by dialling and dialled point code
@@ -106,6 +112,16 @@
         self.ending = False
         self.notes: list[str] = []
 
+    def _certify(self) -> None:
+        """A set for each call server, and one that relays and stand-ins share: it names everybody."""
+        authority = Authority.make(self.folder, 2.0)
+        servers = [f"cs{n}" for n in self.numbers]
+        for name in servers:
+            authority.issue(name, [f"{name}.{DOMAIN}"], days=1.0)
+        everybody = [*servers, "office", "callers", "list", "centre"]
+        authority.issue(SHARED, [f"{name}.{DOMAIN}" for name in everybody], days=1.0)
+        self.contexts = Contexts(shared_set(self.folder))
+
     # -- settings of the call servers
 
     def context(self, a: int, b: int) -> int:
@@ -127,17 +143,18 @@
                 dial = f' dial="127.0.0.1:{self.ports[n, m]}"' if (n, m) in self.ports else ""
                 lines.append(
                     f'peer "cs{m}" role="exchange" point-code={m} context={self.context(n, m)} number={m} '
-                    f'zone="z{self.servers[m].zone}"{dial} '
+                    f'{self.link(f"cs{m}")} zone="z{self.servers[m].zone}"{dial} '
                     f'{{ circuits "1-{day.fleet["circuits"]}"; prefix "{self.prefix(m)}"; }}'
                 )
         for name, role, code, size in (
             ("office", "office", OFFICE + n, day.fleet["lines"]),
             ("callers", "callers", CALLERS + n, day.fleet["access"]),
         ):
-            given = f'role="{role}" point-code={code} context={self.context(n, code)}'
+            given = f'role="{role}" {self.link(name)} point-code={code} context={self.context(n, code)}'
             lines.append(f'peer "{name}" {given} {{ circuits "1-{size}"; }}')
-        lines.append(f'peer "list" role="list" point-code={LIST} context={self.context(n, LIST)}')
-        lines.append(f'peer "centre" role="centre" point-code={CENTRE} context={self.context(n, CENTRE)}')
+        for name, code in (("list", LIST), ("centre", CENTRE)):
+            given = f"{self.link(name)} point-code={code} context={self.context(n, code)}"
+            lines.append(f'peer "{name}" role="{name}" {given}')
         for part in day.classes:
             lines.append(
                 f'class "{part.argument}" on-time={ms(part["on-time"])} deadline={ms(part["deadline"])} '
@@ -161,10 +178,18 @@
             f"module tick={ms(5.0)} seed={day.seed * 1_000 + n} advice={_kdl(day.module['advice'])} "
             f"over-share-worth={day.module['over-share-worth']}"
         )
+        if day.fleet["tls"]:
+            lines.append(
+                f'tls certificate="cs{n}.crt" key="cs{n}.key" trust="ca.crt" revoked="ca.crl" '
+                f'name="cs{n}.{DOMAIN}" listen="127.0.0.1:0" slots=256'
+            )
         lines.append(f"link answer-margin={ms(100.0)}")
         lines.append(f"timers t1={ms(4_000)} t5={ms(20_000)} t16={ms(4_000)} t22={ms(4_000)} t12={ms(4_000)}")
         return "\n".join(lines) + "\n"
 
+    def link(self, name: str) -> str:
+        return f'tls="{name}.{DOMAIN}"' if self.day.fleet["tls"] else "plain=true"
+
     # -- processes
 
     def order(self, **order: Any) -> None:
@@ -193,7 +218,9 @@
             )
             self.relays.append(process)
             assert process.stdin is not None and process.stdout is not None
-            process.stdin.write(json.dumps({"do": "links", "links": links[index]}).encode() + b"\n")
+            keys = str(self.folder) if self.day.fleet["tls"] else ""
+            order = {"do": "links", "links": links[index], "keys": keys}
+            process.stdin.write(json.dumps(order).encode() + b"\n")
             process.stdin.flush()
         for process in self.relays:
             assert process.stdout is not None
@@ -235,12 +262,14 @@
 
             def place(code: int, size: int = 0, n: int = n) -> Place:
                 cics = circuits([f"1-{size}"]) if size else ()
-                server = Peer("cs", "exchange", n, self.context(n, code), dial=("", 0), cics=cics)
+                server = Peer(
+                    "cs", "exchange", n, self.context(n, code), dial=("", 0), cics=cics, tls=f"cs{n}.{DOMAIN}"
+                )
 
                 def address() -> tuple[str, int] | None:
                     return ("127.0.0.1", self.ports[code, n]) if self.servers[n].port else None
 
-                return Place(loop, code, server, address)
+                return Place(loop, code, server, address, self.contexts)
 
             lines, access = day.fleet["lines"], day.fleet["access"]
             self.offices[n] = Office(place(OFFICE + n, lines), day.processor, day.seed + n)
--- a/ospreybridge/lab/measure.py
+++ b/ospreybridge/lab/measure.py
@@ -41,11 +41,12 @@
     lines = ['exchange "cs1" number=1 point-code=1 listen="127.0.0.1:0" { prefix "37001"; }']
     for n in range(2, exchanges + 1):
         lines.append(
-            f'peer "cs{n}" role="exchange" point-code={n} context={100 + n} number={n} '
+            f'peer "cs{n}" role="exchange" plain=true point-code={n} context={100 + n} number={n} '
             f'{{ circuits "1-{GROUP}"; prefix "37{n:03d}"; }}'
         )
-    lines.append(f'peer "callers" role="callers" point-code=2000 context=5 {{ circuits "1-{ACCESS}"; }}')
-    lines.append('peer "list" role="list" point-code=16000 context=9')
+    given = f'point-code=2000 context=5 {{ circuits "1-{ACCESS}"; }}'
+    lines.append(f'peer "callers" role="callers" plain=true {given}')
+    lines.append('peer "list" role="list" plain=true point-code=16000 context=9')
     lines.append('class "lookup" on-time=2000 deadline=9000 hold=100')
     return "\n".join(lines) + "\n"
 
--- a/ospreybridge/lab/relay.py
+++ b/ospreybridge/lab/relay.py
@@ -11,17 +11,22 @@
 import random
 import socket
 import sys
+import time
 from pathlib import Path
 from typing import Any
 
+from ospreybridge.core.handshakes import Handshakes
+from ospreybridge.keys import material
 from ospreybridge.lab.tap import BUSY, DOWN, FRAME, INJECTED, STAMP, UP, Tap
-from ospreybridge.net import tcp
+from ospreybridge.net import tcp, tls
 from ospreybridge.net.loop import READ, Loop, Task
 from ospreybridge.signalling import isup, m3ua, sccp
 from ospreybridge.signalling.errors import FrameError, MessageError
 from ospreybridge.signalling.isup import Isup
 
 BUFFER = 1 << 24
+DOMAIN, SHARED = "example.test", "everybody"  # of the names in a fleet's certificates; the shared set's files
+SLOTS = 4_096  # handshakes at once: the relay must refuse nobody
 LONG_TURN = 10.0  # ms of one turn that the checker must know of: what came meanwhile was read late
 # Octets of a DATA frame with a routing context: service indicator, circuit (two), ISUP message type.
 SERVICE, CIRCUIT, TYPE = 28, 32, 34
@@ -31,6 +36,11 @@
     return frame[CIRCUIT] | (frame[CIRCUIT + 1] & 15) << 8
 
 
+def shared_set(folder: Path) -> material.Material:
+    paths = material.Paths(folder / f"{SHARED}.crt", folder / f"{SHARED}.key", folder / "ca.crt")
+    return material.load(paths, time.time())
+
+
 class Pair:
     """One connection through the relay: the dialling side `near`, the dialled side `far`."""
 
@@ -139,13 +149,24 @@
             self.relay.loop.spawn(self._join(sock))
 
     def _join(self, sock: socket.socket) -> Task:
-        loop = self.relay.loop
+        loop, contexts, pace = self.relay.loop, self.relay.contexts, self.relay.pace
+        near: tcp.Stream | None = None
         try:
-            far = yield from tcp.dial(loop, ("127.0.0.1", self.relay.ports[self.target]), 2_000.0)
-        except OSError:
-            sock.close()
+            if contexts is not None:
+                secured = yield from tls.shake(loop, sock, contexts.wrap_server, pace, tls.STANDIN_WITHIN)
+                near = tls.TlsStream(loop, secured, BUFFER)
+            else:
+                near = tcp.Stream(loop, sock, BUFFER)
+            raw = yield from tcp.dial(loop, ("127.0.0.1", self.relay.ports[self.target]), 2_000.0)
+            if contexts is not None:
+                far: tcp.Stream = yield from contexts.dialled(loop, raw, pace, f"cs{self.target}.{DOMAIN}")
+            else:
+                far = tcp.Stream(loop, raw, BUFFER)
+        except (OSError, tls.Refused):
+            if near is not None:
+                near.close("nobody there")
             return
-        Pair(self.relay, self, tcp.Stream(loop, sock, BUFFER), tcp.Stream(loop, far, BUFFER))
+        Pair(self.relay, self, near, far)
 
 
 class Relay:
@@ -156,11 +177,15 @@
         self.links: dict[tuple[int, int], Link] = {}
         self.ports: dict[int, int] = {}  # where each dialled side listens, by point code
         self.lose = 0.0
+        self.contexts: tls.Contexts | None = None  # with keys, both halves of each connection are TLS
+        self.pace = Handshakes(SLOTS, seed)
 
     def command(self, order: dict[str, Any]) -> None:
         """One order: link, port, cut, heal, stall, lose, block, unblock."""
         match order["do"]:
             case "links":
+                if order["keys"]:
+                    self.contexts = tls.Contexts(shared_set(Path(order["keys"])))
                 for source, target, delay, context in order["links"]:
                     self.links[source, target] = Link(self, source, target, delay, context)
                 ports = [[s, t, link.port] for (s, t), link in self.links.items()]
--- a/ospreybridge/lab/script.py
+++ b/ospreybridge/lab/script.py
@@ -45,7 +45,7 @@
             "zones": Key(whole(1, 8), 1), "circuits": Key(whole(1, 992), 24),
             "access": Key(whole(1, 2_000), 300), "lines": Key(whole(1, 2_000), 300),
             "relays": Key(whole(1, 8), 1), "delay": Key(number(0, 1_000), 1.0),
-            "far-delay": Key(number(0, 1_000), 8.0),
+            "far-delay": Key(number(0, 1_000), 8.0), "tls": Key(flag, False),
         }),
         "traffic": Form(keys={"rate": Key(number(0.1, 100_000), 50.0)}),
         "callers": Form(keys={
--- a/ospreybridge/net/loop.py
+++ b/ospreybridge/net/loop.py
@@ -66,14 +66,13 @@
         else:
             self.timers.at(self.now + value, lambda now: self._step(task))
 
-    def interrupt(self, task: Task) -> None:
-        """Throws TimedOut into a task that waits for a socket."""
-        waits = {fd for fd, other in [*self.readers.items(), *self.writers.items()] if other is task}
-        for fd in waits:
-            self.readers.pop(fd, None)
+    def interrupt(self, fd: int) -> None:
+        """Throws TimedOut into the task that waits for this socket."""
+        task = self.readers.pop(fd, None) or self.writers.get(fd)
+        if task is not None and not callable(task):
             self.writers.pop(fd, None)
-            self._mask(fd)
-        if waits:
+            if fd in self.masks:
+                self._mask(fd)
             self._step(task, TimedOut())
 
     # -- sockets
--- a/ospreybridge/net/tcp.py
+++ b/ospreybridge/net/tcp.py
@@ -56,9 +56,7 @@
             return
         data = self.out[0] if len(self.out) == 1 else b"".join(self.out)
         try:
-            sent = self.sock.send(data)
-        except BlockingIOError:
-            sent = 0
+            sent = self._send(data)
         except OSError as error:
             self.close(f"write failed: {errno.errorcode.get(error.errno or 0, '?')}")
             return
@@ -68,6 +66,13 @@
             self.blocked = True
             self.loop.when_writable(self.fd, self._writable)
 
+    def _send(self, data: bytes) -> int:
+        """How many octets the system has taken; none where it would block."""
+        try:
+            return self.sock.send(data)
+        except BlockingIOError:
+            return 0
+
     def _writable(self) -> None:
         self.blocked = False
         self.flush()
@@ -93,8 +98,7 @@
         sock.close()
         raise OSError(code, os.strerror(code))
     fd = sock.fileno()
-    task = _Waiter(loop, fd)
-    late = loop.timers.at(loop.now + within, task.late)
+    late = loop.timers.at(loop.now + within, lambda now: loop.interrupt(fd))
     try:
         yield WRITE, fd
     except TimedOut:
@@ -110,18 +114,6 @@
     return sock
 
 
-class _Waiter:
-    """Interrupts whichever task waits to write to a descriptor."""
-
-    def __init__(self, loop: Loop, fd: int) -> None:
-        self.loop, self.fd = loop, fd
-
-    def late(self, now: float) -> None:
-        task = self.loop.writers.get(self.fd)
-        if task is not None and not callable(task):
-            self.loop.interrupt(task)
-
-
 def listening(address: tuple[str, int]) -> socket.socket:
     family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
     sock = socket.socket(family, socket.SOCK_STREAM)
--- /dev/null
+++ b/ospreybridge/net/tls.py
@@ -0,0 +1,257 @@
+"""TLS on the loop: contexts made of a checked set, handshakes step by step, streams of records."""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import socket
+import ssl
+import time
+from collections.abc import Callable, Generator
+
+from ospreybridge.core.handshakes import Handshakes
+from ospreybridge.keys import facts as read_facts
+from ospreybridge.keys import judge
+from ospreybridge.keys.facts import Facts
+from ospreybridge.keys.judge import Reason
+from ospreybridge.keys.material import Material, MaterialError
+from ospreybridge.net.loop import READ, WRITE, Loop, TimedOut, Trap
+from ospreybridge.net.tcp import CHUNK, Stream
+
+# OpenSSL's X509_V_ERR_* (openssl/x509_vfy.h), as far as a peer's chain brings them about.
+_VERIFY = {
+    2: Reason.UNKNOWN_ISSUER, 7: Reason.UNKNOWN_ISSUER, 9: Reason.NOT_YET, 10: Reason.EXPIRED,
+    18: Reason.UNKNOWN_ISSUER, 19: Reason.UNKNOWN_ISSUER, 20: Reason.UNKNOWN_ISSUER,
+    21: Reason.UNKNOWN_ISSUER, 23: Reason.REVOKED, 24: Reason.UNKNOWN_ISSUER, 26: Reason.WRONG_PURPOSE,
+    66: Reason.WEAK_KEY, 67: Reason.WEAK_KEY, 68: Reason.WEAK_KEY,
+    79: Reason.UNKNOWN_ISSUER,
+}  # fmt: skip
+# OpenSSL's names of library errors, without the alerts, which all begin alike.
+_LIBRARY = {
+    "PEER_DID_NOT_RETURN_A_CERTIFICATE": Reason.NO_CERTIFICATE, "WRONG_VERSION_NUMBER": Reason.NOT_TLS,
+    "HTTP_REQUEST": Reason.NOT_TLS, "HTTPS_PROXY_REQUEST": Reason.NOT_TLS,
+    "PACKET_LENGTH_TOO_LONG": Reason.NOT_TLS, "UNEXPECTED_MESSAGE": Reason.NOT_TLS,
+    "RECORD_LAYER_FAILURE": Reason.NOT_TLS, "UNSUPPORTED_PROTOCOL": Reason.OLD_VERSION,
+    "NO_PROTOCOLS_AVAILABLE": Reason.OLD_VERSION, "EE_KEY_TOO_SMALL": Reason.WEAK_KEY,
+}  # fmt: skip
+_OLD_ALERT = "TLSV1_ALERT_PROTOCOL_VERSION"
+STANDIN_WITHIN, STANDIN_BUFFER = 5_000.0, 1 << 24  # ms of a stand-in's handshake, octets it may have unread
+BROKEN = "tls: "  # begins the reason of a stream that ended against the protocol
+
+
+class Refused(Exception):
+    """A handshake that came to nothing; `reason` is its one name, `detail` what the library or judge said."""
+
+    def __init__(self, reason: Reason, detail: str = "") -> None:
+        super().__init__(f"{reason}{': ' if detail else ''}{detail}")
+        self.reason, self.detail = reason, detail
+
+
+def reason_of(error: BaseException) -> Reason:
+    if isinstance(error, ssl.SSLCertVerificationError):
+        return _VERIFY.get(error.verify_code, Reason.UNREADABLE)
+    if isinstance(error, ssl.SSLEOFError | ssl.SSLZeroReturnError | ssl.SSLSyscallError):
+        return Reason.CLOSED
+    if isinstance(error, ssl.SSLError):
+        name = error.reason or ""
+        if name == _OLD_ALERT:
+            return Reason.OLD_VERSION
+        return Reason.REFUSED if "ALERT" in name else _LIBRARY.get(name, Reason.BROKEN)
+    return Reason.CLOSED
+
+
+class Contexts:
+    """The two contexts of one set. `renew_tickets` makes a server context whose ticket keys are new."""
+
+    def __init__(self, material: Material, allow_12: bool = False, tickets: bool = True) -> None:
+        """MaterialError where OpenSSL would not use the set, or would not believe its own certificate."""
+        self.material, self.allow_12, self.tickets = material, allow_12, tickets
+        try:
+            self.client = self._made(ssl.PROTOCOL_TLS_CLIENT)
+            self.renew_tickets()
+            self._shake_hands_with_itself()
+        except ssl.SSLError as error:
+            raise MaterialError([f"the set is not usable: {reason_of(error)}: {error}"]) from None
+
+    def renew_tickets(self) -> None:
+        self.server = self._made(ssl.PROTOCOL_TLS_SERVER)
+
+    def _made(self, protocol: ssl._SSLMethod) -> ssl.SSLContext:
+        context = ssl.SSLContext(protocol)
+        context.check_hostname = False  # names are held against the settings by keys.judge, with no CN
+        context.verify_mode = ssl.CERT_REQUIRED
+        context.minimum_version = ssl.TLSVersion.TLSv1_2 if self.allow_12 else ssl.TLSVersion.TLSv1_3
+        context.options |= ssl.OP_NO_RENEGOTIATION | ssl.OP_NO_COMPRESSION
+        if protocol is ssl.PROTOCOL_TLS_SERVER:
+            context.num_tickets = 1 if self.tickets else 0
+        if not self.tickets:
+            context.options |= ssl.OP_NO_TICKET
+        # The library reads files only. It is given the octets that were checked, in memory, so that a file
+        # changed between the check and the use can't come in.
+        chain = os.memfd_create("certificate", os.MFD_CLOEXEC)
+        key = os.memfd_create("key", os.MFD_CLOEXEC)
+        try:
+            for descriptor, data in ((chain, self.material.certificate), (key, self.material.key)):
+                while data:
+                    data = data[os.write(descriptor, data) :]
+            context.load_cert_chain(f"/proc/self/fd/{chain}", f"/proc/self/fd/{key}")
+        finally:
+            os.close(chain)
+            os.close(key)
+        context.load_verify_locations(cadata=self.material.trust.decode("ascii", "replace"))
+        return context
+
+    def dialled(
+        self,
+        loop: Loop,
+        sock: socket.socket,
+        pace: Handshakes,
+        name: str,
+        session: ssl.SSLSession | None = None,
+    ) -> Generator[Trap, None, TlsStream]:
+        """A stream to the peer of that name, for stand-ins; Refused where it is somebody else."""
+
+        def wrap(plain: socket.socket) -> ssl.SSLSocket:
+            return self.wrap_client(plain, name, session)
+
+        secured = yield from shake(loop, sock, wrap, pace, STANDIN_WITHIN)
+        stream = TlsStream(loop, secured, STANDIN_BUFFER)
+        if not judge.named(peer_facts(secured), name, False):
+            stream.close(str(Reason.WRONG_NAME))
+            raise Refused(Reason.WRONG_NAME)
+        return stream
+
+    def wrap_client(self, sock: socket.socket, name: str, session: ssl.SSLSession | None) -> ssl.SSLSocket:
+        return self.client.wrap_socket(
+            sock, server_hostname=name, do_handshake_on_connect=False, suppress_ragged_eofs=False,
+            session=session,
+        )  # fmt: skip
+
+    def wrap_server(self, sock: socket.socket) -> ssl.SSLSocket:
+        return self.server.wrap_socket(
+            sock, server_side=True, do_handshake_on_connect=False, suppress_ragged_eofs=False
+        )
+
+    def _shake_hands_with_itself(self) -> None:
+        """Chain, key and both purposes are verified by the very code that verifies them for a peer."""
+        up, down = ssl.MemoryBIO(), ssl.MemoryBIO()
+        ends = [
+            self.client.wrap_bio(down, up, server_side=False),
+            self.server.wrap_bio(up, down, server_side=True),
+        ]
+        for _ in range(8):
+            for end in list(ends):
+                try:
+                    end.do_handshake()
+                    ends.remove(end)
+                except ssl.SSLWantReadError:
+                    continue
+            if not ends:
+                return
+        raise ssl.SSLError("the set does not finish a handshake with itself")
+
+
+def peer_facts(sock: ssl.SSLSocket) -> Facts:
+    """What the far end showed, in a resumed session what it showed in the full handshake."""
+    der = sock.getpeercert(True)
+    if not der:
+        raise Refused(Reason.NO_CERTIFICATE)
+    try:
+        return read_facts.read(der)
+    except ValueError as error:
+        raise Refused(Reason.UNREADABLE, str(error)) from None
+
+
+def shake(
+    loop: Loop,
+    sock: socket.socket,
+    wrap: Callable[[socket.socket], ssl.SSLSocket],
+    pace: Handshakes,
+    within: float,
+    key: int = 0,
+) -> Generator[Trap, None, ssl.SSLSocket]:
+    """Shakes hands without holding the loop; Refused if it comes to nothing. The socket is closed then."""
+    sock.setblocking(False)
+    end = loop.now + within
+    fd = sock.fileno()
+    late = loop.timers.at(end, lambda now: loop.interrupt(fd))
+    tls: ssl.SSLSocket | None = None
+    try:
+        tls = wrap(sock)
+        fd = tls.fileno()
+        wants: str | None = None if not tls.server_side else READ
+        while True:
+            if wants is not None:
+                yield wants, fd
+            at = pace.book(loop.now)
+            if at > loop.now:
+                yield "sleep", at - loop.now
+            if loop.now >= end:
+                raise TimedOut
+            pace.progressed(loop.now, key)
+            begun = time.perf_counter()
+            try:
+                tls.do_handshake()
+                return tls
+            except ssl.SSLWantReadError:
+                wants = READ
+            except ssl.SSLWantWriteError:
+                wants = WRITE
+            finally:
+                pace.took(1_000.0 * (time.perf_counter() - begun))
+    except TimedOut:
+        _drop(loop, tls or sock)
+        raise Refused(Reason.STOPPED) from None
+    except OSError as error:
+        _drop(loop, tls or sock)
+        raise Refused(reason_of(error), str(error)) from None
+    finally:
+        late.cancel()
+
+
+def _drop(loop: Loop, sock: socket.socket) -> None:
+    if sock.fileno() >= 0:
+        loop.forget(sock.fileno())
+        sock.close()
+
+
+class TlsStream(Stream):
+    """A stream of TLS records. An end without close_notify is told apart from an orderly one."""
+
+    sock: ssl.SSLSocket
+
+    def read(self) -> Generator[Trap, None, bytes]:
+        while not self.closed:
+            yield READ, self.fd
+            if self.closed:
+                break
+            try:
+                data = self.sock.recv(CHUNK)
+                # OpenSSL gives one record a time; what it has decrypted already wakes no epoll.
+                while pending := self.sock.pending():
+                    data += self.sock.recv(pending)
+                return data
+            except (ssl.SSLWantReadError, ssl.SSLWantWriteError):
+                continue
+            except ssl.SSLZeroReturnError:
+                return b""
+            except ssl.SSLEOFError:
+                self.close(f"{BROKEN}{Reason.TRUNCATED}")
+            except ssl.SSLError as error:
+                reason = Reason.REFUSED if "ALERT" in (error.reason or "") else Reason.BROKEN
+                self.close(f"{BROKEN}{reason}: {error.reason or error}")
+            except OSError:
+                self.close(f"{BROKEN}{Reason.TRUNCATED}")
+        return b""
+
+    def _send(self, data: bytes) -> int:
+        try:
+            return self.sock.send(data)
+        except (ssl.SSLWantWriteError, ssl.SSLWantReadError):
+            return 0
+
+    def close(self, reason: str) -> None:
+        if not self.closed and not reason.startswith(BROKEN):
+            with contextlib.suppress(OSError, ValueError):
+                self.sock.unwrap()  # sends close_notify; the far end's is not waited for
+        super().close(reason)
--- a/ospreybridge/settings/server.py
+++ b/ospreybridge/settings/server.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
 from ospreybridge import interface as i
+from ospreybridge.keys.material import Paths
 from ospreybridge.policy import check as check_module
 from ospreybridge.settings.reader import (
     Form,
@@ -25,6 +27,15 @@
 
 MS = number(0, 4e9)
 POINT_CODE = whole(0, 16_383)
+
+
+def dns_name(value: Any) -> str:
+    label = "[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?"
+    if not isinstance(value, str) or not re.fullmatch(rf"{label}([.]{label})*", value.lower()):
+        raise ValueError('a DNS name such as "cs2.example.net"')
+    return value.lower()
+
+
 PREFIX = Form(Key(digits, needed=True), several=True)
 
 
@@ -40,6 +51,24 @@
     zone: int = 0
     dial: tuple[str, int] | None = None  # where we dial it; None: it dials us
     cics: tuple[int, ...] = ()
+    tls: str = ""  # DNS name its certificate must show; empty: plain, as the settings say
+    wildcard: bool = False  # the certificate may show *.rest for it
+
+
+@dataclass(frozen=True, slots=True)
+class Tls:
+    """Where the own set lies, and the bounds of handshakes, tickets and links. Times in milliseconds."""
+
+    paths: Paths
+    name: str = ""  # what the own certificate must say; empty: anything
+    listen: tuple[str, int] | None = None
+    allow_12: bool = False
+    warn_days: tuple[float, ...] = (30.0, 14.0, 7.0, 3.0, 1.0)
+    ticket_age: float = 3_600_000.0  # of a session, and between changes of the ticket keys; 0: no tickets
+    link_age: float = 86_400_000.0  # before a standing link moves over to a new association
+    spread: float = 60_000.0  # over which links move after the set was replaced
+    slots: int = 64  # handshakes in progress that came in
+    check_every: float = 60_000.0  # between looks at the files and at the dates
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,6 +120,7 @@
     answer_margin: float = 100.0  # ms of a caller's time kept for the answer's way, a tenth of it at most
     seed: int = 0
     path: str = ""
+    tls: Tls | None = None
 
     def module(self) -> i.Settings:
         """What the module is told at its start."""
@@ -142,9 +172,19 @@
         "role": Key(choice("exchange", "office", "callers", "list", "centre"), "exchange", True),
         "point-code": Key(POINT_CODE, 0, True), "context": Key(whole(0, 2**32 - 1), 0, True),
         "number": Key(whole(0, 1_999), -1), "zone": Key(text, ""), "dial": Key(address),
+        "tls": Key(dns_name, ""), "wildcard": Key(flag, False), "plain": Key(flag, False),
     },
     {"circuits": Form(Key(text, needed=True), several=True), "prefix": PREFIX},
 )  # fmt: skip
+TLS = Form(
+    keys={
+        "certificate": Key(text, "", True), "key": Key(text, "", True), "trust": Key(text, "", True),
+        "revoked": Key(text), "name": Key(dns_name, ""), "listen": Key(address),
+        "allow-1.2": Key(flag, False), "ticket-age": Key(MS), "link-age": Key(number(1, 4e9)),
+        "spread": Key(MS), "slots": Key(whole(1, 10_000)), "check-every": Key(number(100, 4e9)),
+    },
+    children={"warn-days": Form(Key(number(0, 3_650), needed=True), several=True)},
+)  # fmt: skip
 FORM = Form(
     children={
         "exchange": Form(
@@ -162,6 +202,7 @@
             "tick": Key(number(0, 1_000), 5.0), "seed": Key(whole(0, 2**32), 0), "advice": Key(flag, False),
             "over-share-worth": Key(number(0, 1), 1.0),
         }),
+        "tls": TLS,
         "stop": Form(keys={"within": Key(number(100, 600_000), 10_000.0)}),
         "link": Form(keys={
             "out-buffer": Key(whole(4_096, 1 << 30), 1 << 20), "answer-margin": Key(MS, 100.0),
@@ -185,6 +226,21 @@
     return {name: part[name] if part else key.default for name, key in form.keys.items()}
 
 
+def _tls(part: Part | None, folder: Path) -> Tls | None:
+    """Paths are taken from the folder of the settings file."""
+    if part is None:
+        return None
+    at = {name: folder / part[name] for name in ("certificate", "key", "trust", "revoked") if part[name]}
+    given: dict[str, Any] = {
+        name: part[name.replace("_", "-")]
+        for name in ("ticket_age", "link_age", "spread", "slots", "check_every")
+        if part[name.replace("_", "-")] is not None
+    }
+    if days := part.arguments("warn-days"):
+        given["warn_days"] = tuple(days)
+    return Tls(Paths(**at), part["name"], part["listen"], part["allow-1.2"], **given)
+
+
 def load(path: Path) -> Server:
     """The whole file, checked; SettingsError names every fault."""
     reader = Reader(path)
@@ -194,7 +250,7 @@
         reader.fault(1, "exchange", "exactly one is needed")
     if not top.all("class"):
         reader.fault(1, "class", "at least one is needed")
-    for name in ("rules", "limits", "goal", "timers", "module", "stop", "link"):
+    for name in ("rules", "limits", "goal", "timers", "module", "stop", "link", "tls"):
         for extra in top.all(name)[1:]:
             reader.fault(extra.line, name, "stands more than once")
     reader.check()
@@ -226,6 +282,9 @@
                 reader.fault(part.line, "peer number", "missing for an exchange")
             once(part, "number", part["number"])
             lead(part, part["number"])
+        if bool(part["tls"]) == part["plain"]:
+            expected = 'either tls="the DNS name of its certificate" or plain=true'
+            reader.fault(part.line, "peer tls", f"expected {expected}")
         cics: tuple[int, ...] = ()
         try:
             cics = circuits(part.arguments("circuits"))
@@ -241,6 +300,8 @@
                 zones.index(part["zone"]),
                 part["dial"],
                 cics,
+                part["tls"],
+                part["wildcard"],
             )
         )
     if sum(peer.role == "office" for peer in peers) > 1:
@@ -306,9 +367,14 @@
         answer_margin=_defaults(FORM.children["link"], top.one("link"))["answer-margin"],
         seed=module["seed"] or own["point-code"],
         path=str(path),
+        tls=_tls(top.one("tls"), path.parent),
     )  # fmt: skip
-    if any(peer.dial is None for peer in peers) and server.listen is None:
-        reader.fault(own.line, "exchange listen", "missing: some peer has no dial address")
+    if any(peer.dial is None and not peer.tls for peer in peers) and server.listen is None:
+        reader.fault(own.line, "exchange listen", "missing: some plain peer has no dial address")
+    for part, peer in zip(top.all("peer"), peers, strict=True):
+        if peer.tls and (server.tls is None or (peer.dial is None and server.tls.listen is None)):
+            needed = "a tls node" if server.tls is None else "tls listen: it has no dial address"
+            reader.fault(part.line, "peer tls", f"needs {needed}")
     reader.check()
     try:
         check_module(server.module())
--- a/ospreybridge/standins/endpoint.py
+++ b/ospreybridge/standins/endpoint.py
@@ -4,16 +4,18 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
 
 from ospreybridge.core.association import Asp, Association
+from ospreybridge.core.handshakes import Handshakes
 from ospreybridge.net import tcp
 from ospreybridge.net.loop import Loop, Task
+from ospreybridge.net.tls import Contexts, Refused
 from ospreybridge.settings.server import Peer
 from ospreybridge.signalling import isup, m3ua
 from ospreybridge.signalling.errors import FrameError, MessageError
 from ospreybridge.signalling.isup import Isup
 
+BUFFER = 1 << 24
 REDIAL = 200.0  # ms before a lost association is dialled again
 
 
@@ -25,6 +27,7 @@
     point_code: int
     server: Peer
     address: Callable[[], tuple[str, int] | None]
+    tls: Contexts | None = None  # the stand-ins' own set; `server.tls` is who they expect
 
 
 class Endpoint:
@@ -32,10 +35,12 @@
 
     def __init__(self, place: Place) -> None:
         self.loop, self.point_code = place.loop, place.point_code
-        self.server, self.address = place.server, place.address
+        self.server, self.address, self.tls = place.server, place.address, place.tls
+        self.pace = Handshakes(1, place.point_code)
         self.association: Association | None = None
         self.stream: tcp.Stream | None = None
         self.alive = True
+        self.failure = ""  # why the last dialling came to nothing
         self.faults: list[str] = []  # what the call server sent that a real peer would not understand
         self.loop.spawn(self._life())
 
@@ -49,14 +54,20 @@
             if address is not None:
                 try:
                     sock = yield from tcp.dial(self.loop, address, 2_000.0)
-                except OSError:
-                    pass
+                    if self.tls is not None:
+                        stream: tcp.Stream = yield from self.tls.dialled(
+                            self.loop, sock, self.pace, self.server.tls
+                        )
+                    else:
+                        stream = tcp.Stream(self.loop, sock, BUFFER)
+                except (OSError, Refused) as error:
+                    self.failure = str(error)
                 else:
-                    yield from self._serve(sock)
+                    yield from self._serve(stream)
             yield "sleep", REDIAL
 
-    def _serve(self, sock: Any) -> Task:
-        stream = self.stream = tcp.Stream(self.loop, sock, 1 << 24)
+    def _serve(self, stream: tcp.Stream) -> Task:
+        self.stream = stream
         association = Association(self, stream.write, self.point_code, 2, {}, self.server)
         self.association = association
         stream.on_close = association.closed
@@ -142,6 +153,12 @@
         if message.kind == m3ua.ERR:
             self.faults.append(f"ERR {message.number(m3ua.ERROR_CODE)}")
 
+    def stranger(self, association: Association, identifier: int) -> None:
+        """Nobody dials an endpoint."""
+
+    def may_take_over(self, association: Association) -> bool:
+        return False
+
     def end(self, association: Association, reason: str) -> None:
         self.faults.append(reason)
         self.drop()
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -3,17 +3,23 @@
 from __future__ import annotations
 
 import socket
+import time
 from collections import Counter
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import replace
 from pathlib import Path
+from typing import Any
 
 from hdrh.histogram import HdrHistogram
 
 from ospreybridge.core.callserver import CallServer
-from ospreybridge.fronts.m3ua import Front
+from ospreybridge.fronts.m3ua import Channel, Front
+from ospreybridge.keys.authority import Authority
+from ospreybridge.keys.material import Paths
+from ospreybridge.keys.material import load as load_set
 from ospreybridge.net.loop import Loop
+from ospreybridge.net.tls import Contexts
 from ospreybridge.settings.server import Peer, Server, circuits, load
 from ospreybridge.signalling.isup import Isup
 from ospreybridge.standins.callers import Callers, Habits, Kind
@@ -25,20 +31,37 @@
 TEXT = """
 exchange "cs{n}" number={n} point-code={n} listen="127.0.0.1:0" {{ prefix "37{n}"; }}
 {peers}
-peer "office" role="office" point-code={office} context={office} {{ circuits "1-60"; }}
-peer "callers" role="callers" point-code={callers} context={callers} {{ circuits "1-90"; }}
-peer "list" role="list" point-code=16000 context=9
+{tls}
+peer "office" role="office" {link} point-code={office} context={office} {{ circuits "1-60"; }}
+peer "callers" role="callers" {link} point-code={callers} context={callers} {{ circuits "1-90"; }}
+peer "list" role="list" {link} point-code=16000 context=9
 class "lookup" on-time=2000 deadline=9000 hold=1000
 timers redial=50 heartbeat=400 handshake=1000 t1=300 t5=1000 t16=300 t22=300
 """
 
+TLS = """tls certificate="cs{n}.crt" key="cs{n}.key" trust="ca.crt" revoked="ca.crl" name="cs{n}.test" \\
+    listen="127.0.0.1:0" check-every=100 spread=200 {more}
+"""
+
 
 class Fleet:
     """`size` exchanges in a mesh; the lower number dials. `cores`, `offices`, `callers` are by number."""
 
     def __init__(
-        self, folder: Path, size: int = 3, group: int = 6, clock: Callable[[], float] | None = None
+        self,
+        folder: Path,
+        size: int = 3,
+        group: int = 6,
+        clock: Callable[[], float] | None = None,
+        tls: str | None = None,
     ) -> None:
+        """`tls`: more keys of the tls nodes; None for plain links."""
+        self.tls, self.authority = tls, None if tls is None else Authority.make(folder, 30.0)
+        self.said: list[dict[str, Any]] = []  # what the fronts logged
+        self.wall_shift = 0.0  # seconds by which the fronts' calendar is ahead
+        if self.authority is not None:
+            self.authority.issue("standins", ["standins.test"])
+            self.standins = standin_set(folder)
         self.folder, self.size, self.group = folder, size, group
         self.loop = Loop(clock) if clock else Loop()
         self.tally: Counter[str] = Counter()
@@ -56,22 +79,39 @@
     def settings(self, n: int) -> Server:
         peers = "\n".join(
             f'peer "cs{m}" role="exchange" number={m} point-code={m} context={min(n, m) * 10 + max(n, m)} '
+            + (f'tls="cs{m}.test" ' if self.authority else "plain=true ")
             + (f'dial="127.0.0.1:{self.ports[m]}" ' if n < m else "")
             + f'{{ circuits "1-{self.group}"; prefix "37{m}"; }}'
             for m in range(1, self.size + 1)
             if m != n
         )
         file = self.folder / f"cs{n}.kdl"
-        file.write_text(TEXT.format(n=n, peers=peers, office=1_000 + n, callers=2_000 + n))
+        link, tls = "plain=true", ""
+        if self.authority:
+            link, tls = 'tls="standins.test"', TLS.format(n=n, more=self.tls)
+            if not (self.folder / f"cs{n}.key").exists():
+                self.authority.issue(f"cs{n}", [f"cs{n}.test"])
+        given = {"office": 1_000 + n, "callers": 2_000 + n, "link": link, "tls": tls}
+        file.write_text(TEXT.format(n=n, peers=peers, **given))
         return load(file)
 
     def start(self, n: int) -> None:
         settings = self.settings(n)
         if n in self.ports:
-            settings = replace(settings, listen=("127.0.0.1", self.ports[n]))
+            at = ("127.0.0.1", self.ports[n])
+            if settings.tls is not None:
+                settings = replace(settings, tls=replace(settings.tls, listen=at))
+            else:
+                settings = replace(settings, listen=at)
         self.cores[n] = CallServer(settings, self.loop.timers)
-        self.fronts[n] = Front(self.loop, settings, self.cores[n])
-        self.ports[n] = self.fronts[n].port
+
+        def log(event: str, **fields: Any) -> None:
+            self.said.append({"event": event, "at": n} | fields)
+
+        self.fronts[n] = Front(
+            self.loop, settings, self.cores[n], log, wall=lambda: time.time() + self.wall_shift
+        )
+        self.ports[n] = self.fronts[n].tls_port or self.fronts[n].port
 
     def kill(self, n: int) -> None:
         """The process is gone without a word: sockets close, nothing is remembered."""
@@ -84,8 +124,9 @@
     def _surround(self, n: int) -> None:
         def place(code: int, context: int, size: int = 0) -> Place:
             cics = circuits([f"1-{size}"]) if size else ()
-            server = Peer(f"cs{n}", "exchange", n, context, dial=("", 0), cics=cics)
-            return Place(self.loop, code, server, lambda: ("127.0.0.1", self.ports[n]))
+            server = Peer(f"cs{n}", "exchange", n, context, dial=("", 0), cics=cics, tls=f"cs{n}.test")
+            contexts = self.standins if self.authority else None
+            return Place(self.loop, code, server, lambda: ("127.0.0.1", self.ports[n]), contexts)
 
         office, callers, delays = 1_000 + n, 2_000 + n, HdrHistogram(1, 60_000_000, 3)
         self.offices[n] = Office(place(office, office, 60), Processor(setup=0.5, release=0.1), n)
@@ -103,6 +144,12 @@
             for core in self.cores.values()
         ) and all(self.offices[n].up and self.callers[n].up for n in self.cores)
 
+    def channel(self, n: int, to: int) -> Channel:
+        """The connection that carries the link from one exchange to another now."""
+        found = self.fronts[n].by_peer[to].current
+        assert isinstance(found, Channel)
+        return found
+
     def call(self, origin: int, dest: int, serial: int) -> None:
         self.callers[origin].wish(KIND, f"50{serial:06d}", f"37{dest}{serial:04d}")
 
@@ -117,11 +164,20 @@
                     callers._hang_up(self.loop.now, wish)
 
 
+def standin_set(folder: Path, file: str = "standins", old: bool = False) -> Contexts:
+    paths = Paths(folder / f"{file}.crt", folder / f"{file}.key", folder / "ca.crt")
+    return Contexts(load_set(paths, time.time()), old)
+
+
 @contextmanager
 def fleet(
-    folder: Path, size: int = 3, group: int = 6, clock: Callable[[], float] | None = None
+    folder: Path,
+    size: int = 3,
+    group: int = 6,
+    clock: Callable[[], float] | None = None,
+    tls: str | None = None,
 ) -> Iterator[Fleet]:
-    made = Fleet(folder, size, group, clock)
+    made = Fleet(folder, size, group, clock, tls)
     try:
         made.until(made.ready)
         yield made
--- a/tests/test_command.py
+++ b/tests/test_command.py
@@ -18,10 +18,10 @@
 EXAMPLES = Path(__file__).parent.parent / "examples"
 SOUND = """
 exchange "cs1" number=1 point-code=1 listen="127.0.0.1:0" { prefix "371"; }
-peer "cs2" role="exchange" number=2 point-code=2 context=12 { circuits "1-31"; prefix "372"; }
-peer "callers" role="callers" point-code=2001 context=5 { circuits "1-31"; }
-peer "office" role="office" point-code=1001 context=6 { circuits "1-31"; }
-peer "list" role="list" point-code=16000 context=9
+peer "cs2" role="exchange" plain=true number=2 point-code=2 context=12 { circuits "1-31"; prefix "372"; }
+peer "callers" role="callers" plain=true point-code=2001 context=5 { circuits "1-31"; }
+peer "office" role="office" plain=true point-code=1001 context=6 { circuits "1-31"; }
+peer "list" role="list" plain=true point-code=16000 context=9
 class "lookup" on-time=2000 deadline=9000
 stop within=3000
 """
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -116,6 +116,12 @@
     def end(self, association: Association, reason: str) -> None:
         self.events.append("end")
 
+    def stranger(self, association: Association, identifier: int) -> None:
+        self.events.append(f"stranger {identifier}")
+
+    def may_take_over(self, association: Association) -> bool:
+        return "active" in self.events
+
 
 class Pair:
     """The dialling and the dialled side, joined by hand; frames may be held back."""
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -46,7 +46,7 @@
         f.offices[2].hung = True
         f.call(1, 2, 1)
         f.until(lambda: f.cores[2].finals["stands"] == 1 and len(f.cores[2].calls) == 2)
-        f.fronts[1].by_peer[2].stream.close("cut by the test")
+        f.fronts[1].by_peer[2].current.drop("cut by the test")
         f.until(lambda: f.tally["cut"] == 1)  # the standing call is gone
         f.offices[2].hung = False
         f.until(lambda: answered(f.tally) == 2)  # the pending one is set up anew
@@ -152,9 +152,9 @@
 
 def test_a_peer_that_never_reads_is_dropped_and_harms_nobody(tmp_path: Path) -> None:
     with fleet(tmp_path) as f:
-        channel = f.fronts[1].by_peer[2]
+        channel = f.channel(1, 2)
         channel.stream.limit = 20_000
-        far = f.fronts[2].by_peer[1]
+        far = f.channel(2, 1)
         f.loop.readers.pop(far.stream.fd)  # exchange 2 stops reading
         f.loop._mask(far.stream.fd)
         for _ in range(200_000):
