--- a/ospreybridge/cli/main.py
+++ b/ospreybridge/cli/main.py
@@ -13,6 +13,7 @@
 
 import click
 
+from ospreybridge.cli.keys import keys
 from ospreybridge.keys.material import MaterialError
 from ospreybridge.settings.reader import SettingsError
 from ospreybridge.settings.server import Server, load
@@ -33,10 +34,12 @@
     To begin:
       ospreybridge check examples/cs1.kdl     is the settings file sound?
       ospreybridge serve examples/cs1.kdl     one call server
+      ospreybridge keys --help                certificates for links over TLS
       ospreybridge day examples/bad-day.kdl   a fleet on loopback through a scripted bad day
     """
 
 
+main.add_command(keys)
 T = TypeVar("T")
 
 
--- a/ospreybridge/core/handshakes.py
+++ b/ospreybridge/core/handshakes.py
@@ -16,7 +16,7 @@
 LONGEST_COST = 50.0  # ms; a step beyond it met a processor that was away, which says nothing of the next one
 PATIENCE = 250.0  # ms a handshake may wait for its peer before a newcomer may take its slot: some round trips
 DIALLING = 8  # handshakes of our own at once: a restart with many peers shakes hands a few at a time
-DOUBLINGS = 6  # of the pause after failures in a row; with the usual half second half a minute
+DOUBLINGS = 4  # of the pause after failures in a row: with the usual half second a mended set is seen in 8 s
 JITTER = 0.5  # of a pause is drawn, so that servers that failed together don't come back together
 
 
--- a/ospreybridge/fronts/m3ua.py
+++ b/ospreybridge/fronts/m3ua.py
@@ -48,6 +48,7 @@
         self.front, self.stream, self.shaken = front, stream, shaken
         self.splitter = m3ua.Splitter()
         self.heard = front.loop.now
+        self.was_active = False
         self.association = Association(
             front, self.send, front.s.point_code, front.s.network,
             {peer.point_code: peer for peer in peers}, dialled, takes_over,
@@ -238,8 +239,10 @@
             self.counts[f"tls {Reason.NO_SLOT}"] += 1
             sock.close()
             return
-        if stale is not None and stale in self.shaking:
-            self.loop.interrupt(self.shaking[stale].fileno())
+        stalled = self.shaking.pop(stale, None) if stale is not None else None
+        if stalled is not None:
+            self.loop.interrupt(stalled.fileno())
+            tls.drop(self.loop, stalled)  # where it waited for its turn and not for its peer
         self.loop.spawn(self._shaking(sock, key, self.keys))
 
     def _shaking(self, sock: socket.socket, key: int, keys: Keychain) -> Task:
@@ -301,13 +304,18 @@
             except tls.Refused as refused:
                 assert self.keys is not None
                 self._refused(refused, "dialled", peer)
-                pause = self.keys.handshakes.failed(peer.point_code, self.s.timers.redial)
+                if refused.reason is not Reason.CLOSED:  # a peer that is just starting is no refusal
+                    pause = self.keys.handshakes.failed(peer.point_code, self.s.timers.redial)
             except OSError as error:
                 self.counts["dial failed"] += 1
                 self.say("dial failed", peer=peer.name, error=str(error))
             else:
                 while not channel.stream.closed or peer.point_code in self.by_peer:
                     yield "sleep", self.s.timers.redial
+                if self.keys is not None and peer.tls and not channel.was_active:
+                    # In TLS 1.3 a peer refuses what it was shown only after the dialler's handshake is over.
+                    self._refused(tls.Refused(Reason.REFUSED, "closed before it was active"), "dialled", peer)
+                    pause = self.keys.handshakes.failed(peer.point_code, self.s.timers.redial)
             yield "sleep", pause
 
     def _dial(self, peer: Peer, takes_over: bool) -> Generator[Trap, None, Channel]:
@@ -400,6 +408,7 @@
     def active(self, association: Association) -> None:
         channel, peer = self.channels[id(association)], channel_peer(association)
         code, now = peer.point_code, self.loop.now
+        channel.was_active = True
         path = self.by_peer.get(code)
         shaken = channel.shaken
         if path is not None and association.takes_over:
--- a/ospreybridge/lab/day.py
+++ b/ospreybridge/lab/day.py
@@ -10,6 +10,7 @@
 import signal
 import subprocess
 import sys
+import threading
 import time
 from collections import Counter
 from collections.abc import Callable
@@ -114,7 +115,7 @@
 
     def _certify(self) -> None:
         """A set for each call server, and one that relays and stand-ins share: it names everybody."""
-        authority = Authority.make(self.folder, 2.0)
+        authority = self.authority = Authority.make(self.folder, 2.0)
         servers = [f"cs{n}" for n in self.numbers]
         for name in servers:
             authority.issue(name, [f"{name}.{DOMAIN}"], days=1.0)
@@ -181,7 +182,7 @@
         if day.fleet["tls"]:
             lines.append(
                 f'tls certificate="cs{n}.crt" key="cs{n}.key" trust="ca.crt" revoked="ca.crl" '
-                f'name="cs{n}.{DOMAIN}" listen="127.0.0.1:0" slots=256'
+                f'name="cs{n}.{DOMAIN}" listen="127.0.0.1:0" slots=256 check-every=1000 spread={ms(3_000)}'
             )
         lines.append(f"link answer-margin={ms(100.0)}")
         lines.append(f"timers t1={ms(4_000)} t5={ms(20_000)} t16={ms(4_000)} t22={ms(4_000)} t12={ms(4_000)}")
@@ -422,6 +423,15 @@
         for a, b in pairs:
             self.order(do="unblock", a=a, b=b, cics=cics)
 
+    def _renew_keys(self, trouble: Trouble, names: list[int], lasts: float) -> Task:
+        def run() -> None:
+            for n in names:
+                self.authority.issue(f"cs{n}", [f"cs{n}.{DOMAIN}"], days=1.0)
+
+        # Replacing a file may wait for the disk; the callers of this process must not.
+        threading.Thread(target=run).start()
+        yield "sleep", lasts
+
     def _call_server_killed(self, trouble: Trouble, names: list[int], lasts: float) -> Task:
         for n in names:
             process = self.servers[n].process
@@ -546,6 +556,11 @@
                 faults.append(f"cs{n} ended with {process.returncode}")
             else:
                 processor += usage[0].ru_utime + usage[0].ru_stime
+        if self.day.fleet["tls"]:
+            logs = [server.file.with_suffix(".log").read_text() for server in self.servers.values()]
+            for event in ("link moved over", "link not moved over", "handshake refused"):
+                told = json.dumps(event)
+                self.notes.append(f"{event}: {sum(log.count(told) for log in logs)}")
         faults += [f"callers {n}: {fault}" for n, c in self.callers.items() for fault in c.faults[:3]]
         faults += [f"office {n}: {fault}" for n, o in self.offices.items() for fault in o.faults[:3]]
         faults += [f"office {n} fell over while cold" for n, o in self.offices.items() if o.fallen]
--- a/ospreybridge/lab/script.py
+++ b/ospreybridge/lab/script.py
@@ -22,6 +22,7 @@
     "crash": "processors die, calls that touch them are cut, and they come back cold",
     "deploy": "processors drain, stop after `grace` s and come back cold",
     "lost-circuits": "groups between zones lose `share` of their circuits",
+    "renew-keys": "call servers of a fleet over TLS get new certificates; their links move over within `for`",
     "call-server-killed": "call servers are killed and started again",
     "call-server-stalled": "call servers stand still",
     "peer-messages-lost": "`share` of the messages between call servers is lost",
@@ -158,6 +159,8 @@
                 part["grace"],
             )
         )
+        if part.argument == "renew-keys" and not fleet["tls"]:
+            reader.fault(part.line, "trouble", "renew-keys needs fleet tls=true")
         if day is not None and part["at"] > day["seconds"]:
             reader.fault(part.line, "trouble at", f"within the day's {day['seconds']:g} seconds")
     reader.check()
--- a/ospreybridge/net/loop.py
+++ b/ospreybridge/net/loop.py
@@ -92,10 +92,11 @@
 
     def forget(self, fd: int) -> None:
         """To be called before a socket is closed."""
-        self.readers.pop(fd, None)
-        self.writers.pop(fd, None)
+        # First of all: the last reference to a waiting task may be the one to its socket too.
         if self.masks.pop(fd, None) is not None:
             self.epoll.unregister(fd)
+        self.readers.pop(fd, None)
+        self.writers.pop(fd, None)
 
     # -- turns
 
--- a/ospreybridge/net/tls.py
+++ b/ospreybridge/net/tls.py
@@ -186,7 +186,7 @@
             at = pace.book(loop.now)
             if at > loop.now:
                 yield "sleep", at - loop.now
-            if loop.now >= end:
+            if loop.now >= end or tls.fileno() < 0:  # late, or its slot was given to another meanwhile
                 raise TimedOut
             pace.progressed(loop.now, key)
             begun = time.perf_counter()
@@ -200,16 +200,16 @@
             finally:
                 pace.took(1_000.0 * (time.perf_counter() - begun))
     except TimedOut:
-        _drop(loop, tls or sock)
+        drop(loop, tls or sock)
         raise Refused(Reason.STOPPED) from None
     except OSError as error:
-        _drop(loop, tls or sock)
+        drop(loop, tls or sock)
         raise Refused(reason_of(error), str(error)) from None
     finally:
         late.cancel()
 
 
-def _drop(loop: Loop, sock: socket.socket) -> None:
+def drop(loop: Loop, sock: socket.socket) -> None:
     if sock.fileno() >= 0:
         loop.forget(sock.fileno())
         sock.close()
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import threading
 import time
 from collections import Counter
 from collections.abc import Callable, Iterator
@@ -150,6 +151,19 @@
         assert isinstance(found, Channel)
         return found
 
+    def reissue(self, *numbers: int, **more: Any) -> None:
+        """New certificates over the old files, on a thread: it waits for the disk, calls must not."""
+        assert self.authority is not None
+        issue = self.authority.issue
+
+        def run() -> None:
+            for n in numbers:
+                issue(f"cs{n}", [f"cs{n}.test"], **more)
+
+        thread = threading.Thread(target=run)
+        thread.start()
+        self.until(lambda: not thread.is_alive(), 30_000)
+
     def call(self, origin: int, dest: int, serial: int) -> None:
         self.callers[origin].wish(KIND, f"50{serial:06d}", f"37{dest}{serial:04d}")
 
--- /dev/null
+++ b/tests/test_keys.py
@@ -0,0 +1,301 @@
+"""What is decided about certificates, handshakes, tickets and renewals, without sockets."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections import deque
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from ospreybridge.cli.main import main
+from ospreybridge.core.changeover import Path as LinkPath
+from ospreybridge.core.changeover import Told
+from ospreybridge.core.handshakes import DOUBLINGS, PATIENCE, SHARE, Handshakes
+from ospreybridge.core.renewal import AT_ONCE, Renewals
+from ospreybridge.core.sessions import RESUMES, Sessions
+from ospreybridge.core.timers import Timers
+from ospreybridge.keys import facts, judge, material
+from ospreybridge.keys.authority import Authority
+from ospreybridge.keys.facts import DIALS, SERVES
+from ospreybridge.keys.judge import Reason
+from ospreybridge.keys.watch import DAY, Expiry
+from ospreybridge.net.tls import Contexts
+
+
+@pytest.mark.parametrize(
+    ("wanted", "shown", "wildcard", "same"),
+    [
+        ("cs1.a.test", "CS1.a.test", False, True),
+        ("cs1.a.test", "cs2.a.test", False, False),
+        ("cs1.a.test", "*.a.test", False, False),
+        ("cs1.a.test", "*.a.test", True, True),
+        ("x.cs1.a.test", "*.a.test", True, False),
+        ("a.test", "*.test", True, False),
+        ("cs1.a.test", "c*.a.test", True, False),
+        ("cs1.a.test", "cs1.a.test.evil", True, False),
+    ],
+)
+def test_names_are_exact(wanted: str, shown: str, wildcard: bool, same: bool) -> None:
+    assert judge.same_name(wanted, shown, wildcard) is same
+
+
+def test_certificates_are_judged_by_san_dates_key_purpose_and_list(tmp_path: Path) -> None:
+    authority, now = Authority.make(tmp_path, 30.0), time.time()
+    good = facts.of(authority.issue("good", ["cs1.test"]))
+    assert judge.fault(good, now, SERVES, ()) is None and judge.fault(good, now, DIALS, ()) is None
+    common = facts.of(authority.issue("cn", [], common="cs1.test"))
+    assert not judge.named(common, "cs1.test", True)  # the CN is no name
+    assert judge.fault(good, good.not_after + 1, SERVES, ()) is Reason.EXPIRED
+    assert judge.fault(good, good.not_before - 1, SERVES, ()) is Reason.NOT_YET
+    assert judge.fault(good, now, SERVES, {(good.issuer, good.serial)}) is Reason.REVOKED
+    assert judge.fault(good, now, SERVES, {(b"another", good.serial)}) is None
+    assert (
+        judge.fault(facts.of(authority.issue("w", ["a"], rsa_bits=1_024)), now, SERVES, ()) is Reason.WEAK_KEY
+    )
+    serves = facts.of(authority.issue("s", ["a"], purposes=(SERVES,)))
+    assert judge.fault(serves, now, DIALS, ()) is Reason.WRONG_PURPOSE
+    assert judge.fault(facts.of(authority.certificate), now, SERVES, ()) is Reason.WRONG_PURPOSE
+
+
+def test_a_set_is_checked_whole_and_every_fault_named(tmp_path: Path) -> None:
+    authority, now = Authority.make(tmp_path, 30.0), time.time()
+    certificate = authority.issue("cs1", ["cs1.test"])
+    authority.issue("cs2", ["cs2.test"])
+    other = Authority.make(tmp_path / "other", 30.0)
+
+    def faults(name: str = "cs1.test", **changed: Path) -> str:
+        given = {"certificate": "cs1.crt", "key": "cs1.key", "trust": "ca.crt", "revoked": "ca.crl"}
+        paths = material.Paths(**{k: changed.get(k, tmp_path / v) for k, v in given.items()})
+        try:
+            Contexts(material.load(paths, now, name))
+        except material.MaterialError as error:
+            return str(error)
+        return ""
+
+    assert faults() == ""
+    assert "does not match" in faults(key=tmp_path / "cs2.key")
+    assert "expected x.test" in faults("x.test")
+    assert Reason.UNKNOWN_ISSUER in faults(trust=other.folder / "ca.crt", revoked=other.folder / "ca.crl")
+    assert "no trusted authority" in faults(revoked=other.folder / "ca.crl")
+    half = tmp_path / "half.crt"
+    half.write_bytes((tmp_path / "cs1.crt").read_bytes()[:200])
+    assert "cut off" in faults(certificate=half)
+    assert "can't be read" in faults(certificate=tmp_path / "none.crt")
+    (tmp_path / "cs1.key").chmod(0o640)
+    assert "readable by others (mode 0640)" in faults()
+    (tmp_path / "cs1.key").chmod(0o600)
+    authority.revoke([certificate.serial_number])
+    assert Reason.REVOKED in faults()
+
+
+def test_expiry_is_told_once_a_stage_and_each_hour_on_the_last_day() -> None:
+    watch, end = Expiry((30.0, 7.0, 1.0)), 100 * DAY
+    told = [hour for hour in range(24 * 101) for _ in watch.due(hour * 3_600.0, {"cs1.crt": end})]
+    assert told[:3] == [70 * 24, 93 * 24, 99 * 24] and told[3:] == list(range(99 * 24 + 1, 24 * 101))
+    assert watch.due(101 * DAY, {"cs1.crt": 500 * DAY}) == []
+    assert len(watch.due(480 * DAY, {"cs1.crt": 500 * DAY})) == 1  # the renewed one begins anew
+
+
+def test_slots_are_bounded_and_a_stalled_peer_yields_its_own_to_a_newcomer() -> None:
+    slots = Handshakes(4, 1)
+    assert all(slots.begin(float(n), n)[0] for n in range(4))
+    assert slots.begin(10.0, 4) == (False, None)
+    slots.progressed(200.0, 0)
+    assert slots.begin(PATIENCE + 2.0, 5) == (True, 1) and len(slots.inbound) == 4
+    slots.end(5)
+    assert slots.begin(PATIENCE + 3.0, 6) == (True, None)
+
+
+def test_steps_take_no_more_than_their_share_of_the_loop() -> None:
+    pace = Handshakes(64, 1)
+    for _ in range(200):
+        pace.book(0.0)
+        pace.took(2.0)
+    first = pace.book(0.0)
+    assert pace.book(0.0) - first == pytest.approx(pace.cost / SHARE)
+    assert pace.cost == pytest.approx(2.0, rel=0.01)
+    pace.took(10_000.0)  # the process was away: that is no cost of a step
+    assert pace.cost < 8.0
+
+
+def test_failures_in_a_row_wait_longer_and_not_in_step() -> None:
+    slots = Handshakes(4, 1)
+    waits = [slots.failed(7, 100.0) for _ in range(12)]
+    assert all(0.75 * 100 * 2 ** min(n, DOUBLINGS) <= wait <= 1.25 * 100 * 2 ** min(n, DOUBLINGS)
+               for n, wait in enumerate(waits))  # fmt: skip
+    assert len(set(waits)) == 12
+    slots.succeeded(7)
+    assert slots.failed(7, 100.0) < 126
+
+
+def test_sessions_are_used_once_and_bounded_in_age_identity_and_number() -> None:
+    sessions = Sessions(1_000.0)
+    sessions.keep(0.0, 2, "ticket", "set-a cs2", 0)
+    assert sessions.take(10.0, 2, "set-b cs2") == (None, 0)
+    sessions.keep(0.0, 2, "ticket", "set-a cs2", 0)
+    assert sessions.take(10.0, 2, "set-a cs2") == ("ticket", 1)
+    assert sessions.take(10.0, 2, "set-a cs2") == (None, 0)
+    sessions.keep(0.0, 2, "ticket", "set-a cs2", 0)
+    assert sessions.take(1_000.0, 2, "set-a cs2") == (None, 0)
+    sessions.keep(0.0, 2, "ticket", "set-a cs2", RESUMES)
+    assert sessions.take(1.0, 2, "set-a cs2") == (None, 0)
+    assert [sessions.rotate(now) for now in (999.0, 1_000.0, 1_500.0, 2_000.0)] == [False, True, False, True]
+
+
+def test_sixty_links_move_spread_over_time_and_few_at_once() -> None:
+    renewals = Renewals(1e9, 60_000.0, 3)
+    renewals.newest = "old"
+    for peer in range(60):
+        renewals.up(0.0, peer, "old")
+    renewals.replaced(1_000.0, "new")
+    now = 1_000.0
+    begun: list[float] = []
+    under_way: deque[tuple[float, int]] = deque()
+    while len(begun) < 60 and now < 70_000.0:
+        now += renewals.look_after(now)
+        while under_way and under_way[0][0] <= now:
+            peer = under_way.popleft()[1]
+            renewals.over(now, peer, True)
+            renewals.up(now, peer, "new")
+        for peer in renewals.take(now):
+            begun.append(now)
+            under_way.append((now + 300.0, peer))
+        assert len(renewals.moving) <= AT_ONCE
+    assert len(begun) == 60 and begun[-1] <= 61_500.0
+    assert max(sum(low <= at < low + 5_000 for at in begun) for low in range(1_000, 60_000, 1_000)) <= 9
+
+
+def test_a_move_that_fails_is_tried_later_and_a_set_replaced_meanwhile_moves_again() -> None:
+    renewals = Renewals(1e9, 100.0, 3)
+    renewals.up(0.0, 2, "a")
+    renewals.replaced(0.0, "b")
+    assert renewals.take(100.0) == [2] and renewals.take(100.0) == []  # never two moves of one link
+    renewals.over(100.0, 2, False)
+    assert renewals.take(200.0) == [] and renewals.take(1_400.0) == [2]
+    renewals.replaced(1_400.0, "c")
+    renewals.over(1_500.0, 2, True)
+    renewals.up(1_500.0, 2, "b")
+    assert renewals.take(1_700.0) == [2]
+
+
+class Wire:
+    """One association between two paths: two queues that keep their order, and nothing across wires."""
+
+    def __init__(self) -> None:
+        self.queues: tuple[deque[tuple[str, int]], ...] = (deque(), deque())
+        self.marks: list[list[Told]] = [[], []]
+        self.open = True
+
+
+class End:
+    """One side's carrier on a wire."""
+
+    def __init__(self, wire: Wire, side: int) -> None:
+        self.wire, self.side = wire, side
+
+    def _put(self, kind: str, number: int = 0) -> None:
+        if self.wire.open:
+            self.wire.queues[self.side].append((kind, number))
+
+    def carry(self, service: int, sls: int, body: bytes) -> None:
+        self._put("data", int(body))
+
+    def mark(self, answered: Told) -> None:
+        self.wire.marks[self.side].append(answered)
+        self._put("beat")
+
+    def probe(self, told: object) -> None: ...
+
+    def audit(self) -> None: ...
+
+    def taken_over(self) -> None:
+        self._put("taken over")
+
+    def leave(self, reason: str) -> None:
+        self.drop(reason)
+
+    def drop(self, reason: str) -> None:
+        self.wire.open = False
+
+
+@pytest.mark.parametrize("seed", range(150))
+def test_a_move_loses_and_overtakes_nothing_and_a_break_is_seen_by_both(seed: int) -> None:
+    draw = random.Random(seed)
+    breaks = seed % 3 == 0
+    old, new = Wire(), Wire()
+    lost: list[int] = []
+    timers = Timers()
+    ends = [[End(wire, side) for wire in (old, new)] for side in (0, 1)]
+    paths = [
+        LinkPath(timers, ends[side][0], lambda reason, side=side: lost.append(side))  # type: ignore[misc]
+        for side in (0, 1)
+    ]
+    sent, got = [0, 0], [[], []]  # type: ignore[var-annotated]
+    seen = [[False, False], [False, False]]  # by side and wire: told that it has ended
+    moves = [draw.randrange(5, 40), 0]
+    moves[1] = moves[0] + draw.randrange(12)
+    broken_at = draw.randrange(60) if breaks else -1
+    for step in range(400):
+        for side in (0, 1):
+            if step == moves[side] and new.open and not paths[side].over:
+                paths[side].move(0.0, ends[side][1], dialler=side == 0)
+            if step < 100 and draw.random() < 0.5 and not paths[side].over:
+                sent[side] += 1
+                paths[side].data(5, 0, str(sent[side]).encode())
+        if step == broken_at:
+            draw.choice((old, new)).open = False
+        for index, wire in enumerate((old, new)):
+            for side in (0, 1):
+                queue = wire.queues[side]
+                if queue and draw.random() < 0.4:
+                    kind, number = queue.popleft()
+                    there = 1 - side
+                    if kind == "data" and not paths[there].over:
+                        got[there].append(number)
+                    elif kind == "beat":
+                        ends[there][index]._put("answer")
+                    elif kind == "answer":
+                        wire.marks[there].pop(0)(True)
+                    elif kind == "taken over":
+                        paths[there].far_side_moved()
+                elif not wire.open and not queue and not seen[1 - side][index]:
+                    seen[1 - side][index] = True
+                    paths[1 - side].ended(ends[1 - side][index], "ended")
+    assert all(numbers == list(range(1, len(numbers) + 1)) for numbers in got)
+    if lost:
+        assert breaks and sorted(lost) == [0, 1]
+    else:
+        assert [len(got[1]), len(got[0])] == sent
+        if not breaks:
+            assert not old.open and new.open
+
+
+def test_the_keys_command_makes_shows_revokes_and_checks(tmp_path: Path) -> None:
+    def run(*words: str) -> tuple[int, str]:
+        result = CliRunner().invoke(main, ["keys", *words])
+        return result.exit_code, result.output
+
+    folder, file = str(tmp_path / "trial"), tmp_path / "trial" / "cs1.kdl"
+    assert run("authority", folder)[0] == 0 and run("authority", folder)[0] == 2
+    assert run("issue", folder, "cs1.test", "--days", "60")[0] == 0
+    assert run("issue", str(tmp_path), "cs1.test")[0] == 2
+    code, shown = run("show", f"{folder}/cs1.crt")
+    assert code == 0 and "60.0 days left" in shown and "cs1.test" in shown
+    file.write_text(
+        'exchange "cs1" number=1 point-code=1\n'
+        'peer "cs2" role="exchange" number=2 point-code=2 context=1 dial="127.0.0.1:1" tls="cs2.test"\n'
+        'class "a" on-time=1 deadline=1\n'
+        'tls certificate="cs1.crt" key="cs1.key" trust="ca.crt" revoked="ca.crl" name="cs1.test"\n'
+    )
+    assert run("check", str(file))[0] == 0
+    assert run("issue", folder, "cs1.test", "--days", "5")[0] == 0
+    assert run("check", str(file))[0] == 1  # sound, but it ends soon
+    assert run("revoke", folder, f"{folder}/cs1.crt")[0] == 0
+    code, told = run("check", str(file))
+    assert code == 2 and "revoked" in told
+    file.write_text(file.read_text().replace('tls="cs2.test"', ""))
+    code, told = run("check", str(file))
+    assert code == 2 and "plain=true" in told and ":2:" in told
