--- a/ospreybridge/core/handshakes.py
+++ b/ospreybridge/core/handshakes.py
@@ -10,8 +10,8 @@
 import random
 from collections import OrderedDict
 
-SHARE = 0.1  # of a processor for handshakes while they are many: what they cost is not there for calls
-CREDIT = 6.0  # ms of unused turns that may be used at once: a lone peer waits for nothing, a storm does
+SHARE = 0.05  # of a processor for handshakes while they are many: some 45 a second, calls first
+CREDIT = 12.0  # ms of unused turns that may be used at once: a lone peer waits for nothing, a storm does
 FIRST_COST = 0.5  # ms of a step before any was measured: about one signature and two verifications
 LEARNS = 0.1  # weight of the newest step in the measured cost
 LONGEST_COST = 50.0  # ms; a step beyond it met a processor that was away, which says nothing of the next one
@@ -28,8 +28,8 @@
 
 
 class Handshakes:
-    def __init__(self, slots: int, seed: int) -> None:
-        self.slots = slots
+    def __init__(self, slots: int, seed: int, share: float = SHARE) -> None:
+        self.slots, self.share = slots, share
         self.random = random.Random(seed)
         self.inbound: OrderedDict[int, float] = (
             OrderedDict()
@@ -74,7 +74,7 @@
     def book(self, now: float) -> float:
         """The moment for the next step; each call books one. Never before `now`."""
         at = max(now - CREDIT, self.free_at)
-        self.free_at = at + self.cost / SHARE
+        self.free_at = at + self.cost / self.share
         return max(now, at)
 
     def took(self, cost: float) -> None:
--- a/ospreybridge/lab/relay.py
+++ b/ospreybridge/lab/relay.py
@@ -178,7 +178,7 @@
         self.ports: dict[int, int] = {}  # where each dialled side listens, by point code
         self.lose = 0.0
         self.contexts: tls.Contexts | None = None  # with keys, both halves of each connection are TLS
-        self.pace = Handshakes(SLOTS, seed)
+        self.pace = Handshakes(SLOTS, seed, share=1.0)
 
     def command(self, order: dict[str, Any]) -> None:
         """One order: link, port, cut, heal, stall, lose, block, unblock."""
