Why a claim is refused and which refusal lasts is decided with the other judgements

Found on reading the change again: the front chose the reason of a false claim and which refusals make it wait, and set the session store's state by hand. Both now stand in keys.judge and core.sessions; the front carries out.

--- a/ospreybridge/core/sessions.py
+++ b/ospreybridge/core/sessions.py
@@ -28,8 +28,10 @@
             return None, 0
         return session, resumed + 1
 
-    def forget(self) -> None:
+    def replaced(self, now: float) -> None:
+        """A new set is in use: no session outlives the old one, and the ticket keys are new with it."""
         self.kept.clear()
+        self.rotated = now
 
     def rotate(self, now: float) -> bool:
         """Whether the keys that protect tickets are due for a change; counts as changed then."""
--- a/ospreybridge/fronts/keychain.py
+++ b/ospreybridge/fronts/keychain.py
@@ -66,8 +66,7 @@
         if fresh.material.digest == self.digest:
             return False
         self.contexts = fresh
-        self.sessions.forget()
-        self.sessions.rotated = now  # new contexts have new ticket keys
+        self.sessions.replaced(now)
         self.say("key set in use", digest=self.digest, names=list(fresh.material.own.names))
         return True
 
--- a/ospreybridge/fronts/m3ua.py
+++ b/ospreybridge/fronts/m3ua.py
@@ -11,7 +11,7 @@
 import time
 from collections import Counter
 from collections.abc import Callable, Generator, Iterable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import Any
 
 from ospreybridge.core.association import Asp, Association
@@ -19,6 +19,7 @@
 from ospreybridge.core.changeover import Carrier, Path
 from ospreybridge.core.renewal import Renewals
 from ospreybridge.fronts.keychain import Keychain
+from ospreybridge.keys import judge
 from ospreybridge.keys.judge import Reason
 from ospreybridge.net import tcp, tls
 from ospreybridge.net.loop import Loop, Task, Trap
@@ -304,7 +305,7 @@
             except tls.Refused as refused:
                 assert self.keys is not None
                 self._refused(refused, "dialled", peer)
-                if refused.reason is not Reason.CLOSED:  # a peer that is just starting is no refusal
+                if judge.lasting(refused.reason):
                     pause = self.keys.handshakes.failed(peer.point_code, self.s.timers.redial)
             except OSError as error:
                 self.counts["dial failed"] += 1
@@ -343,7 +344,7 @@
         sock = yield from tcp.dial(self.loop, peer.dial, within)
         identity = keys.identity(peer)
         session, resumed = keys.sessions.take(self.loop.now, peer.point_code, identity)
-        shaken = Shaken(True, keys.digest, identity, resumed)
+        digest = keys.digest  # of the set that shakes hands: it may be replaced meanwhile
         wrap = keys.dialling(peer, session)
         secured = yield from tls.shake(self.loop, sock, wrap, keys.handshakes, within)
         stream = tls.TlsStream(self.loop, secured, self.s.out_buffer)
@@ -352,9 +353,9 @@
         except tls.Refused as refused:
             stream.close(str(refused.reason))
             raise
-        if not secured.session_reused:
-            shaken = replace(shaken, resumed=0)
-        self.counts["tls resumed" if secured.session_reused else "tls full"] += 1
+        reused = bool(secured.session_reused)
+        self.counts["tls resumed" if reused else "tls full"] += 1
+        shaken = Shaken(True, digest, identity, resumed if reused else 0)
         return Channel(self, stream, [peer], peer, takes_over, shaken)
 
     # -- keys and renewal
@@ -444,14 +445,10 @@
 
     def stranger(self, association: Association, identifier: int) -> None:
         """An identifier that this connection may not have: told by name where it is a peer's."""
-        peer, channel = self.core.peers.get(identifier), self.channels[id(association)]
-        if peer is not None and bool(peer.tls) != (channel.shaken is not None):
-            reason = Reason.PLAIN if peer.tls else Reason.WRONG_NAME
-        elif peer is not None and channel.shaken is not None:
-            reason = Reason.WRONG_NAME
-        else:
-            return
-        self._refused(tls.Refused(reason, f"it says it is {peer.name}"), "connected", peer)
+        peer, secured = self.core.peers.get(identifier), self.channels[id(association)].shaken is not None
+        reason = judge.claim(bool(peer.tls), secured) if peer is not None else None
+        if peer is not None and reason is not None:
+            self._refused(tls.Refused(reason, f"it says it is {peer.name}"), "connected", peer)
 
     def received(self, association: Association, data: m3ua.Data) -> None:
         try:
--- a/ospreybridge/keys/judge.py
+++ b/ospreybridge/keys/judge.py
@@ -38,6 +38,18 @@
     BROKEN = "broken record"
 
 
+def claim(peer_secured: bool, link_secured: bool) -> Reason | None:
+    """Why a connection may not say that it is this peer; None where the two merely don't belong together."""
+    if link_secured:
+        return Reason.WRONG_NAME  # its certificate is another's
+    return Reason.PLAIN if peer_secured else None
+
+
+def lasting(reason: Reason) -> bool:
+    """Whether dialling again at once would meet the same; a peer that is just starting refuses nobody."""
+    return reason is not Reason.CLOSED
+
+
 def same_name(wanted: str, shown: str, wildcard: bool) -> bool:
     """Exact DNS names (RFC 6125, 6.4.1); one whole left-most label may be `*` only where allowed."""
     wanted, shown = wanted.lower().rstrip("."), shown.lower().rstrip(".")
