Links of an exchange are cut or stalled in one place; a dead way back of a stand-in goes

Found on reading the change again: two troubles were written twice, so were two ends of a handshake in the tests, and Endpoint.revive had no caller.

--- a/ospreybridge/lab/day.py
+++ b/ospreybridge/lab/day.py
@@ -468,17 +468,16 @@
         self.list.freeze(False)
 
     def _link_cut(self, trouble: Trouble, names: list[int], lasts: float) -> Task:
-        pairs = [(a, b) for a in names for b in self.numbers if a != b]
-        for a, b in pairs:
-            self.order(do="cut", a=a, b=b)
-        yield "sleep", lasts
-        for a, b in pairs:
-            self.order(do="heal", a=a, b=b)
+        yield from self._on_links("cut", names, lasts)
 
     def _half_frame(self, trouble: Trouble, names: list[int], lasts: float) -> Task:
+        yield from self._on_links("stall", names, lasts)
+
+    def _on_links(self, action: str, names: list[int], lasts: float) -> Task:
+        """What the relays do to all links of these exchanges for so long."""
         pairs = [(a, b) for a in names for b in self.numbers if a != b]
         for a, b in pairs:
-            self.order(do="stall", a=a, b=b)
+            self.order(do=action, a=a, b=b)
         yield "sleep", lasts
         for a, b in pairs:
             self.order(do="heal", a=a, b=b)
--- a/ospreybridge/standins/endpoint.py
+++ b/ospreybridge/standins/endpoint.py
@@ -93,9 +93,6 @@
         self.alive = False
         self.drop()
 
-    def revive(self) -> None:
-        self.alive = True
-
     def send(self, message: Isup) -> None:
         if self.up and self.association is not None:
             self.association.data(m3ua.SI_ISUP, message.cic & 15, isup.encode(message))
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -61,6 +61,21 @@
     return "bad"
 
 
+def outcome(
+    f: Fleet, sock: socket.socket, wrap: Callable[[socket.socket], ssl.SSLSocket], ends: list[str]
+) -> Task:
+    """Shakes hands on one connection and waits for its end, which `ends` gets."""
+    try:
+        secured = yield from tls.shake(f.loop, sock, wrap, Handshakes(1, 0), 2_000.0)
+    except tls.Refused as refused:
+        ends.append(str(refused.reason))
+        return
+    stream = tls.TlsStream(f.loop, secured)
+    stream.on_close = ends.append
+    if not (yield from stream.read()):
+        stream.close("the call server closed")
+
+
 def shaken(f: Fleet, context: ssl.SSLContext, port: int, ends: list[str], count: int = 1) -> None:
     """Dials `count` times one after the other; `ends` gets what came of each."""
 
@@ -70,15 +85,7 @@
     def dial() -> Task:
         for _ in range(count):
             sock = yield from tcp.dial(f.loop, ("127.0.0.1", port), 2_000.0)
-            try:
-                secured = yield from tls.shake(f.loop, sock, wrap, Handshakes(1, 0), 2_000.0)
-            except tls.Refused as refused:
-                ends.append(str(refused.reason))
-                continue
-            stream = tls.TlsStream(f.loop, secured)
-            stream.on_close = ends.append
-            if not (yield from stream.read()):
-                stream.close("the call server closed")
+            yield from outcome(f, sock, wrap, ends)
 
     f.loop.spawn(dial())
 
@@ -125,22 +132,11 @@
         listener = tcp.listening(("127.0.0.1", f.ports[2]))
         ends: list[str] = []
 
-        def accepted(sock: socket.socket) -> None:
-            f.loop.spawn(serve(sock))
+        def wrap(plain: socket.socket) -> ssl.SSLSocket:
+            return context.wrap_socket(plain, server_side=True, do_handshake_on_connect=False)
 
-        def serve(sock: socket.socket) -> Task:
-            def wrap(plain: socket.socket) -> ssl.SSLSocket:
-                return context.wrap_socket(plain, server_side=True, do_handshake_on_connect=False)
-
-            try:
-                secured = yield from tls.shake(f.loop, sock, wrap, Handshakes(1, 0), 2_000.0)
-            except tls.Refused as refused:
-                ends.append(str(refused.reason))
-                return
-            stream = tls.TlsStream(f.loop, secured)
-            stream.on_close = ends.append
-            if not (yield from stream.read()):
-                stream.close("refused")
+        def accepted(sock: socket.socket) -> None:
+            f.loop.spawn(outcome(f, sock, wrap, ends))
 
         f.loop.spawn(tcp.accepting(f.loop, listener, accepted))
         f.until(lambda: f.fronts[1].counts[f"tls {reason}"] >= 2)
