call and offices say that they have plain links only, where they waited in silence

Found on reading the change again: with a peer over TLS both dialled the plain address and never came up, without a word.

--- a/ospreybridge/cli/main.py
+++ b/ospreybridge/cli/main.py
@@ -57,6 +57,14 @@
     return _sound(lambda: load(path))
 
 
+def _plain_only(file: Path, settings: Server, *roles: str) -> None:
+    """Ends a command that stands in for a peer whose link needs a certificate, which it has not."""
+    for peer in settings.peers:
+        if peer.role in roles and peer.tls:
+            click.echo(f"{file}: peer {peer.name}: over TLS; this command has a plain link only", err=True)
+            sys.exit(2)
+
+
 @main.command()
 @click.argument("file", type=FILE)
 def check(file: Path) -> None:
@@ -134,6 +142,7 @@
     from ospreybridge.standins.office import Office, Processor
 
     settings = _settings(file)
+    _plain_only(file, settings, "office", "list")
     loop = Loop()
     numbers = [settings.point_code, *(p.point_code for p in settings.peers if p.role == "exchange")]
     listed = TheList(loop, numbers, (0.0, 100.0), 1)
@@ -175,6 +184,7 @@
     if settings.listen is None or not any(peer.role == "callers" for peer in settings.peers):
         click.echo(f'{file}: exchange listen and a peer with role="callers" are needed', err=True)
         sys.exit(2)
+    _plain_only(file, settings, "callers")
     one = OneCall(settings, number, calling, category, wide, click.echo)
     sys.exit(0 if one.run(within * 1_000, hold * 1_000) else 1)
 
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -295,6 +295,12 @@
         'tls certificate="cs1.crt" key="cs1.key" trust="ca.crt" revoked="ca.crl" name="cs1.test"\n'
     )
     assert run("check", str(file))[0] == 0
+    plain = file.read_text()
+    file.write_text(plain + 'peer "office" role="office" point-code=9 '
+                    'context=9 dial="127.0.0.1:1" tls="o.test" { circuits "1-31"; }\n')  # fmt: skip
+    refused = CliRunner().invoke(main, ["offices", str(file), "--seconds", "1"])
+    assert refused.exit_code == 2 and "over TLS" in refused.output
+    file.write_text(plain)
     assert run("issue", folder, "cs1.test", "--days", "5")[0] == 0
     assert run("check", str(file))[0] == 1  # sound, but it ends soon
     assert run("revoke", folder, f"{folder}/cs1.crt")[0] == 0
