A test of half-written sets no longer lets the server see the whole one first

Cause: the test wrote a whole, sound set in place before it spoilt it, and a look at the files between the two rightly took it into use. The set is now made under another name; what is asserted is unchanged.

--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -355,8 +355,9 @@
         assert f.authority is not None and f.fronts[1].keys is not None
         keys = f.fronts[1].keys
         before, old_key = keys.digest, (tmp_path / "cs1.key").read_bytes()
-        f.reissue(1)
-        whole, new_key = (tmp_path / "cs1.crt").read_bytes(), (tmp_path / "cs1.key").read_bytes()
+        # Made beside: were it written in its place, the server might rightly use it before it is spoilt.
+        f.authority.issue("next", ["cs1.test"])
+        whole, new_key = (tmp_path / "next.crt").read_bytes(), (tmp_path / "next.key").read_bytes()
         for certificate, key in ((whole[:300], new_key), (whole, old_key), (whole, new_key[:80])):
             (tmp_path / "cs1.crt").write_bytes(certificate)
             (tmp_path / "cs1.key").write_bytes(key)
