--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -11,8 +11,8 @@
 import pytest
 
 from ospreybridge import Controller, simhost, wire
-from ospreybridge.settings.instance import Pairs, read, read_report
 from ospreybridge import interface as i
+from ospreybridge.settings.instance import Pairs, read, read_report
 
 SETTINGS = """Classes.count=2
 Classes.0.OnTime=1500.0
