--- a/ospreybridge/access/admission.py
+++ b/ospreybridge/access/admission.py
@@ -28,7 +28,7 @@
         if count < self.clients:
             return None
         idle = [client for client in clients if not client.calls]
-        return min(idle, key=lambda client: (client.proven, client.active), default=None)
+        return min(idle, key=lambda client: (client.trust, client.active), default=None)
 
     def full(self, count: int) -> bool:
         return count >= self.clients
@@ -38,4 +38,4 @@
 
     def mute(self, now: float, clients: Iterable[Client]) -> list[Client]:
         """Connections that said nothing sound in their time."""
-        return [c for c in clients if not c.proven and now - c.opened >= FIRST_WORD]
+        return [c for c in clients if not c.trust and now - c.opened >= FIRST_WORD]
--- a/ospreybridge/access/calls.py
+++ b/ospreybridge/access/calls.py
@@ -13,6 +13,7 @@
 from ospreybridge.signalling.jsonl import Message
 
 LEFT_SLACK = 50.0  # ms by which a caller's time may exceed the settings' deadline: rounding, no more
+STRANGER, SPOKEN, SERVED = 0, 1, 2  # said nothing sound yet; said something sound; had an answer or heard one
 MOST_CELLS = 65_535
 _KEY = re.compile(r"[0-9a-f]{1,16}")
 
@@ -61,7 +62,7 @@
     opened: float
     active: float
     calls: dict[str, Call] = field(default_factory=dict)  # set-ups that wait for their answer
-    proven: bool = False  # a sound set-up or test came on it
+    trust: int = 0  # STRANGER, SPOKEN or SERVED
 
 
 @dataclass(frozen=True, slots=True)
--- a/ospreybridge/access/pool.py
+++ b/ospreybridge/access/pool.py
@@ -18,6 +18,7 @@
 LONGEST_PAUSE = 1_000.0  # ms: an office that is back must be heard within a second
 QUIET = 1_000.0  # ms without a word after which a new connection is opened, to see whether it lives
 TELLER_QUIET = 300.0  # ms without news on the connection whose news count, while others bring some
+REFUSED_AFTER = 1_500.0  # ms of silence on open connections after which a refused connect is believed
 LOST_AFTER = 4_500.0  # ms of silence and failed connects after which its standing calls count as over
 
 
@@ -46,26 +47,27 @@
         return len(self.links) + len(self.dialling)
 
     def take(self, may_open: bool) -> tuple[Link | None, bool]:
-        """The connection for a set-up, or whether to open one; (None, False): wait for one being opened."""
+        """The connection for the set-up that waits longest, or whether to open one; else it waits on."""
         idle = [link for link in self.links.values() if not link.attempts]
         if idle:  # the one last used: the others can go back
             return max(idle, key=lambda link: link.idle_since), False
-        if may_open and len(self.dialling) <= len(self.waiting):
-            return None, True
-        if not may_open and not self.dialling and self.links:
+        if may_open:
+            return None, len(self.dialling) < len(self.waiting)
+        if not self.dialling and self.links:
             return min(self.links.values(), key=lambda link: len(link.attempts)), False
         return None, False
 
-    def wanted(self, now: float, may_open: bool, needed: bool) -> bool:
+    def wanted(self, now: float, may_open: bool, ready: bool, standing: bool) -> bool:
         """Whether to open a connection now that no set-up asked for.
 
-        Spare ones, and one to see whether a quiet office lives: only a new connection tells a machine that
-        vanished from one that has nothing to say, and it is no work for the office's processor.
+        Spare ones where new calls may go, and one to see whether a quiet office lives: only a new connection
+        tells a machine that vanished from one that has nothing to say, and it is no work for its processor.
         """
-        if now < self.next_dial or self.dialling or not needed:
+        if now < self.next_dial or self.dialling or not (ready or standing):
             return False
         idle = sum(not link.attempts for link in self.links.values())
-        return (idle < SPARE and may_open) or now - self.heard >= QUIET
+        spare = idle < SPARE and may_open and (ready or not self.links)
+        return spare or now - self.heard >= QUIET
 
     def news(self, now: float, link: Link, load: object) -> bool:
         """Whether a group's state is new. An office tells it on all its connections: one of them counts.
@@ -98,10 +100,14 @@
         self.next_dial = now + pause * self.random.uniform(0.5, 1.0)
 
     def dead(self, now: float) -> bool:
-        """Whether what stood there is over: nothing runs there, or nothing was heard for long."""
-        if self.links and not self.refused and now - self.heard < LOST_AFTER:
-            return False
-        return (self.refused and not self.links) or (self.failures > 1 and now - self.heard >= LOST_AFTER)
+        """Whether what stood there is over: nothing runs there, or nothing was heard for long.
+
+        A refused connect proves that nothing runs. Connections that a machine left open when it went stay
+        open and silent, so they prove nothing; only a word that came a moment ago speaks against it.
+        """
+        if self.refused:
+            return not self.links or now - self.heard >= REFUSED_AFTER
+        return self.failures > 1 and now - self.heard >= LOST_AFTER
 
     def surplus(self, now: float) -> list[int]:
         """Idle connections to give back."""
--- a/ospreybridge/access/server.py
+++ b/ospreybridge/access/server.py
@@ -18,6 +18,7 @@
 from ospreybridge.access.calls import Attempt, Call, Client, Stage
 from ospreybridge.access.offices import Offices
 from ospreybridge.access.pool import Link, Pool
+from ospreybridge.access.releases import Release, Releases
 from ospreybridge.core.timers import Timers
 from ospreybridge.policy import Controller
 from ospreybridge.settings.instance import read_report
@@ -31,8 +32,8 @@
 MOOT = causes.TIMER  # an office's word for a set-up that never left
 SLACK = 50.0  # ms by which the platform lengthens each of the rules' times
 UPKEEP = 50.0  # ms between looks at connections
+MOST_STANDING = 20_000  # calls that stand: some hundred octets each
 EARLY_KEPT = 4_000  # releases of calls not known (yet), after a restart
-CROSSING = 150.0  # ms: a release written to a connection that closed within this is sent again
 MOST_DATAGRAM = 256  # octets
 STOP_TAKES = 700.0  # ms after SIGTERM in which clients are still served as usual
 STOP_ENDS = 3_500.0  # ms after SIGTERM: the last answers, before the earliest SIGKILL
@@ -55,10 +56,10 @@
 class Server:
     def __init__(
         self, platform: Platform, timers: Timers, port: Port, now: float, unix: float,
-        log: Callable[..., None] | None = None,
+        log: Callable[..., None] | None = None, trace: Callable[..., None] | None = None,
     ) -> None:  # fmt: skip
-        """`unix`: Unix milliseconds at zero of the clock that `now` is of."""
-        self.p, self.timers, self.port, self.log = platform, timers, port, log
+        """`unix`: Unix milliseconds at zero of the clock that `now` is of; `trace` is told each message."""
+        self.p, self.timers, self.port, self.log, self.trace = platform, timers, port, log, trace
         self.s = platform.settings
         self.module = Controller(self.s, platform.seed)
         self.random = Random(platform.seed + 1)
@@ -74,9 +75,8 @@
         self.pending: dict[str, Call] = {}
         self.standing: dict[str, Call] = {}
         self.standing_at: dict[int, dict[str, Call]] = {}
-        self.unsent: dict[str, tuple[int, float]] = {}  # releases no client has been sent: cause, since
+        self.releases = Releases()
         self.early: OrderedDict[str, int] = OrderedDict()  # releases of calls not known: cause
-        self.written: deque[tuple[float, int, str, int]] = deque()  # time, connection, call, cause
         self.checks: dict[str, tuple[int, float]] = {}  # probes: office, when sent
         self.events: deque[i.Event] = deque()
         self.busy = False
@@ -114,14 +114,20 @@
             self.client_broken(now, conn, str(error))
             return
         client.active = now
+        if self.trace is not None:
+            self._traced("client", conn, message)
         if message.kind == jsonl.LAUNCH:
             self._launch(now, client, message)
         elif message.kind == jsonl.STOP:
             self._stop(now, client, message)
         elif message.kind == jsonl.CHECK:
-            self._proven(now, client)
+            self._spoke(now, client)
             self._say(conn, Message(jsonl.CHECKED, message.uid, {}, 1))
-        elif message.kind == jsonl.STOPPED or message.kind == jsonl.STAGING:
+        elif message.kind == jsonl.STOPPED:
+            if message.uid in self.releases.open:
+                self.releases.heard(message.uid)
+                client.trust = c.SERVED
+        elif message.kind == jsonl.STAGING:
             pass
         else:
             self.client_broken(now, conn, f"{message.kind}: not a message of a caller")
@@ -138,20 +144,16 @@
             return
         for call in list(client.calls.values()):
             self._caller_left(now, call)
-        while self.written and now - self.written[0][0] > CROSSING:
-            self.written.popleft()
-        for _, where, uid, cause in list(self.written):
-            if where == conn:
-                self._release(now, uid, cause)
+        for uid, release in self.releases.due(now, conn):
+            self._send_release(now, uid, release)
         self._run(now)
 
-    def _proven(self, now: float, client: Client) -> None:
-        if client.proven:
-            return
-        client.proven = True
-        for uid, (cause, _) in list(self.unsent.items()):
-            del self.unsent[uid]
-            self._release(now, uid, cause, client.conn)
+    def _spoke(self, now: float, client: Client) -> None:
+        """Something sound came: what no caller could be told yet may go here."""
+        if client.trust == c.STRANGER:
+            client.trust = c.SPOKEN
+            for uid, release in self.releases.due(now):
+                self._send_release(now, uid, release)
 
     def _launch(self, now: float, client: Client, message: Message) -> None:
         uid = message.uid
@@ -171,7 +173,7 @@
             self.counts["over the most open"] += 1
             self._say(client.conn, Message(jsonl.STOP, uid, {}, causes.CONGESTION))
             return
-        self._proven(now, client)
+        self._spoke(now, client)
         self.last_ref = self.last_ref % 0xFFFFFFFF + 1
         kind = self.s.classes[setup.cls]
         call = Call(
@@ -203,17 +205,20 @@
         self._run(now)
 
     def _stands_already(self, now: float, client: Client, uid: str, office: int) -> None:
-        self._proven(now, client)
+        self._spoke(now, client)
         cause = self.early.pop(uid, None)
         if cause is not None:
             self._release(now, uid, cause, client.conn)
             return
+        if office not in self.offices.known or len(self.standing) >= MOST_STANDING:
+            self._release(now, uid, RESET, client.conn)  # what stood there is over
+            return
         call = Call(0, uid, "", "", None, client.conn, 0.0, stage=Stage.STANDS, office=office)
         self._keep(call)
         self.counts["told to stand"] += 1
 
     def _stop(self, now: float, client: Client, message: Message) -> None:
-        self._proven(now, client)
+        self._spoke(now, client)
         call = self.pending.get(message.uid)
         if call is not None:
             if call.client == client.conn:
@@ -286,20 +291,13 @@
             )
 
     def _release(self, now: float, uid: str, cause: int, conn: int = 0) -> None:
-        """Tells the callers that a call is over: on its connection, else the one last used, else later."""
-        client = self.clients.get(conn)
-        if client is None or not client.proven:
-            client = max(
-                (one for one in self.clients.values() if one.proven),
-                key=lambda one: one.active, default=None,
-            )  # fmt: skip
-        if client is None:
-            self.unsent[uid] = (cause, now)
-            return
-        self.written.append((now, client.conn, uid, cause))
-        while now - self.written[0][0] > CROSSING:
-            self.written.popleft()
-        self._say(client.conn, Message(jsonl.STOP, uid, {}, cause))
+        """Tells the callers that a call is over: on its own connection, else where it will be heard."""
+        self._send_release(now, uid, self.releases.begin(now, uid, cause), conn)
+
+    def _send_release(self, now: float, uid: str, release: Release, conn: int = 0) -> None:
+        client = self.releases.choose(now, release, conn, self.clients)
+        if client is not None:
+            self._say(client.conn, Message(jsonl.STOP, uid, {}, release.cause))
 
     def _office_lost(self, now: float, office: int, why: str) -> None:
         """What stood there is over: its callers are told, and the module."""
@@ -377,13 +375,8 @@
             self._attempt_over(now, attempt, i.Result.CONNECT_FAILED)
             return
         attempt.timer = self.timers.at(ends, self._timeout, attempt)
-        link, opens = pool.take(self.links < self.admission.office_links)
-        if link is not None:
-            self._write(now, pool, link, attempt)
-            return
         pool.waiting.append(attempt)
-        if opens:
-            self._dial(now, pool)
+        self._serve(now, pool)
 
     def _write(self, now: float, pool: Pool, link: Link, attempt: Attempt) -> None:
         call = attempt.call
@@ -449,12 +442,18 @@
         link = pool.links.get(attempt.link)
         if link is not None and link.attempts.pop(attempt.call.uid, None) is not None:
             link.idle_since = now
-            self._serve(now, pool, link)
-
-    def _serve(self, now: float, pool: Pool, link: Link) -> None:
-        """A connection is free: the set-up that waits longest has it."""
-        if pool.waiting and not link.attempts:
-            self._write(now, pool, link, pool.waiting.popleft())
+            self._serve(now, pool)
+
+    def _serve(self, now: float, pool: Pool) -> None:
+        """Set-ups that wait for a connection get one, in their order, or have one opened."""
+        while pool.waiting:
+            link, opens = pool.take(self.links < self.admission.office_links)
+            if link is not None:
+                self._write(now, pool, link, pool.waiting.popleft())
+            elif opens:
+                self._dial(now, pool)
+            else:
+                return
 
     # -- offices
 
@@ -475,7 +474,8 @@
         if pool is None:
             self.port.close(conn, "its office is gone")
             return
-        self._serve(now, pool, pool.opened(now, conn))
+        pool.opened(now, conn)
+        self._serve(now, pool)
         self._run(now)
 
     def link_failed(self, now: float, conn: int, refused: bool) -> None:
@@ -484,14 +484,22 @@
         if pool is None:
             return
         self.links -= 1
+        if not pool.failures:
+            self.note(
+                "office not reached", office=frames.office_name(pool.office), refused=refused,
+                open=len(pool.links), standing=len(self.standing_at.get(pool.office, ())),
+            )  # fmt: skip
         pool.failed(now, conn, refused)
         self.counts["connects failed"] += 1
         while len(pool.waiting) > len(pool.dialling):
             self._attempt_over(now, pool.waiting[0], i.Result.CONNECT_FAILED)
-        if pool.dead(now):
-            self._office_lost(now, pool.office, "refused" if refused else "silent")
+        self._judge(now, pool)
         self._run(now)
 
+    def _judge(self, now: float, pool: Pool) -> None:
+        if pool.office in self.standing_at and pool.dead(now):
+            self._office_lost(now, pool.office, "refuses connections" if pool.refused else "silent")
+
     def link_line(self, now: float, conn: int, line: bytes) -> None:
         pool = self.linked.get(conn)
         link = pool.links.get(conn) if pool is not None else None
@@ -521,6 +529,8 @@
 
     def _office_says(self, now: float, pool: Pool, link: Link, message: Message) -> None:
         kind, uid = message.kind, message.uid
+        if self.trace is not None:
+            self._traced(frames.office_name(pool.office), link.conn, message)
         if kind == jsonl.USAGE:
             load = message.meta.get("load")
             if pool.news(now, link, load):
@@ -558,6 +568,9 @@
         call.stage = Stage.STANDS
         self._keep(call)
         self.finals["stands"] += 1
+        client = self.clients.get(call.client)
+        if client is not None:
+            client.trust = c.SERVED
         self._say(call.client, Message(jsonl.RUNNING, call.uid, {}, body=message.body))
         self.events.append(i.Stands(call.ref, attempt.number, attempt.office, now - attempt.began))
 
@@ -681,11 +694,11 @@
                 self._gone(now, pool.office)
                 if pool.office not in self.pools:
                     continue
-            needed = not gone or (pool.office in self.standing_at and office.address not in taken)
-            if pool.wanted(now, self.links < self.admission.office_links, needed):
+            standing = pool.office in self.standing_at and not (gone and office.address in taken)
+            ready = office.readiness is i.Readiness.READY
+            if pool.wanted(now, self.links < self.admission.office_links, ready, standing):
                 self._dial(now, pool)
-            if pool.dead(now):
-                self._office_lost(now, pool.office, "silent")
+            self._judge(now, pool)
             for conn in pool.surplus(now):
                 self.link_lost(now, conn)
                 self.port.close(conn, "idle")
@@ -693,6 +706,8 @@
             self.counts["clients mute"] += 1
             self.port.close(client.conn, "nothing said in time")
             self.client_closed(now, client.conn)
+        for uid, release in self.releases.due(now):
+            self._send_release(now, uid, release)
         self._run(now)
 
     def stop(self, now: float) -> None:
@@ -718,8 +733,15 @@
     # -- out
 
     def _say(self, conn: int, message: Message) -> None:
+        if self.trace is not None:
+            self._traced("to", conn, message)
         self.port.send(conn, jsonl.encode(message))
 
+    def _traced(self, source: str, conn: int, message: Message) -> None:
+        if self.trace is not None and message.kind != jsonl.USAGE:
+            self.trace(source, conn=conn, kind=message.kind, ref=message.uid, cause=message.reason,
+                       **{f"f_{name}": value for name, value in message.meta.items()})  # fmt: skip
+
     def note(self, event: str, **fields: Any) -> None:
         if self.log is not None:
             self.log(event, **fields)
--- a/ospreybridge/cli/main.py
+++ b/ospreybridge/cli/main.py
@@ -122,7 +122,7 @@
     from ospreybridge.cli.logs import logger
 
     if file is None:
-        _serve_platform(logger, form)
+        _serve_platform(logger, form, log_calls)
 
     from ospreybridge.daemon.daemon import Daemon
     from ospreybridge.keys.material import MaterialError
@@ -155,7 +155,9 @@
     sys.exit(code)
 
 
-def _serve_platform(logger: Callable[[str, str], Callable[..., None]], form: str) -> NoReturn:
+def _serve_platform(
+    logger: Callable[[str, str], Callable[..., None]], form: str, log_calls: bool
+) -> NoReturn:
     from ospreybridge.daemon.platform import PlatformDaemon
     from ospreybridge.settings.platform import load
 
@@ -165,7 +167,7 @@
         sys.exit(2)
     platform = _sound(lambda: load(Path(named)))
     try:
-        daemon = PlatformDaemon(platform, logger(form, platform.name))
+        daemon = PlatformDaemon(platform, logger(form, platform.name), log_calls)
     except OSError as error:
         click.echo(f"{named}: listen: {error}", err=True)
         sys.exit(2)
--- a/ospreybridge/daemon/platform.py
+++ b/ospreybridge/daemon/platform.py
@@ -19,14 +19,14 @@
 
 
 class PlatformDaemon:
-    def __init__(self, platform: Platform, log: Log) -> None:
+    def __init__(self, platform: Platform, log: Log, calls: bool = False) -> None:
         self.p, self.log = platform, log
         self.loop = Loop()
         self.loop.failed = lambda name, error: log(
             "task failed", task=name, error=repr(error), exc_info=error
         )
         unix = time.time() * 1_000.0 - self.loop.now
-        self.front = Front(self.loop, platform, unix, log)
+        self.front = Front(self.loop, platform, unix, log, log if calls else None)
         self.core = self.front.core
         self.loop.spawn(self._telling())
 
--- a/ospreybridge/fronts/access.py
+++ b/ospreybridge/fronts/access.py
@@ -22,15 +22,16 @@
 
 class Front:
     def __init__(
-        self, loop: Loop, platform: Platform, unix: float, log: Callable[..., None] | None = None
-    ) -> None:
+        self, loop: Loop, platform: Platform, unix: float,
+        log: Callable[..., None] | None = None, trace: Callable[..., None] | None = None,
+    ) -> None:  # fmt: skip
         """OSError where an address can't be listened on."""
         self.loop, self.p, self.log = loop, platform, log
         self.streams: dict[int, tcp.Stream] = {}
         self.dials: dict[int, Task] = {}
         self.closed: set[int] = set()  # connections given up while being opened
         self.udp: socket.socket | None = None
-        self.core = Server(platform, loop.timers, self, loop.now, unix, log)
+        self.core = Server(platform, loop.timers, self, loop.now, unix, log, trace)
         self.listener = tcp.listening(platform.listen)
         self.port = int(self.listener.getsockname()[1])
         if platform.peer_listen is not None:
@@ -85,7 +86,7 @@
         try:
             sock = yield from tcp.dial(self.loop, address, within)
         except OSError as error:
-            refused = error.errno in (errno.ECONNREFUSED, errno.ECONNRESET)
+            refused = error.errno == errno.ECONNREFUSED
             self.closed.discard(conn)
             self.core.link_failed(self.loop.now, conn, refused)
             return
--- a/ospreybridge/policy.py
+++ b/ospreybridge/policy.py
@@ -494,8 +494,9 @@
             call.group_of = None
         call.turned += result is Result.FULL and note is Note.TURNED_BACK
         call.ready_at = now + (self.s.rules.release + self.s.tick if result in DOUBTFUL else 0.0)
+        # An exchange that errs at random stands the next try; one that says why (lines busy) says it again.
         spent = call.ready_at >= call.last or call.attempts >= self.s.limits.most_tries
-        if spent or call.request.transit or result is Result.ERROR:
+        if spent or call.request.transit or (result is Result.ERROR and note is not Note.NONE):
             self._end(now, call)
         else:
             self._waits(now, call)
--- /dev/null
+++ b/tests/platform_rig.py
@@ -0,0 +1,187 @@
+"""The platform's call server without sockets: a port that writes down, an office list, a clock by hand."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from ospreybridge.access.server import Server
+from ospreybridge.core.timers import Timers
+from ospreybridge.settings.platform import Address, Platform, build
+from ospreybridge.signalling import frames, jsonl
+from ospreybridge.signalling.jsonl import Message
+
+SETTINGS: dict[str, Any] = {
+    "Classes": [{
+        "Name": "voice", "OnTime": 500.0, "Deadline": 3_000.0, "LateWorth": 0.1, "Semantics": "free",
+        "Group": "all", "Importance": 1.0, "Window": 5_000.0,
+    }],
+    "Customers": [{"Name": "acme", "Share": 0.6, "QuotaPerS": 30.0}, {"Name": "east end", "Share": 0.4}],
+    "FamilyInfo": {
+        "ThisNode": 0, "Layout": "mesh", "Guard": 100.0, "ClassHold": [2_000.0], "ClassWidth": [1],
+        "TellsWait": True, "RouteAdvice": True,
+    },
+    "Limits": {
+        "Cancel": True, "MostTries": 4, "PeerMessages": True, "RetryAfter": True, "MaxRetryAfter": 2_000.0,
+        "DialTimeout": 200.0,
+    },
+    "Rules": {
+        "DrainGrace": 250.0, "GraceToAnswer": 5.0, "AskWithin": 10_000.0, "ColdShare": 0.3,
+        "WarmAfter": 14_000.0, "OverloadFactor": 2.5, "OverloadFor": 1_500.0,
+    },
+    "Callers": {"MarksRetry": False},
+    "Discovery": "automatic", "Me": 0, "PeersTotal": 3, "Locality": 0, "Round": 1.0,
+    "Stats": {"Columns": ["free", "size"]}, "Zones": ["north", "south"], "Kinds": ["std"],
+}  # fmt: skip
+
+
+def member(office: int, cell: int, state: str = "up", port: int = 0, **more: Any) -> dict[str, Any]:
+    return {
+        "id": frames.office_name(office), "host_port": f"127.0.0.1:{port or 4000 + office}",
+        "locality": "north", "flavor": "std", "cell": cell, "phase": state, "size": 1, "up_since_ms": 0,
+        **more,
+    }  # fmt: skip
+
+
+def config(**more: Any) -> dict[str, Any]:
+    members = [member(10 + cell, cell) for cell in range(3)]
+    return {
+        "name": "n0", "listen": "127.0.0.1:0", "seed": "00ff", "journal": "127.0.0.1:7070",
+        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256},
+        "peers": ["127.0.0.1:7100", "127.0.0.1:7101", "127.0.0.1:7102"], "peers_all": "127.0.0.1:7199",
+        "known": {"pos": 1, "entries": [{"pos": 1, "hosts": {"complete": True, "members": members}}]},
+        "settings": SETTINGS, **more,
+    }  # fmt: skip
+
+
+def platform(**more: Any) -> Platform:
+    return build("config.json", config(**more))
+
+
+class Rig:
+    """Cell 0 is the own exchange; offices 11 and 12 stand at cells 1 and 2, with 20 circuits each."""
+
+    def __init__(self, **more: Any) -> None:
+        self.now = 1_000.0
+        self.timers = Timers()
+        self.out: list[tuple[int, Message]] = []  # all that was sent, in order: connection, message
+        self.dialled: dict[int, Address] = {}
+        self.closed: dict[int, str] = {}
+        self.datagrams: list[tuple[Address, bytes]] = []
+        self.notes: list[str] = []
+        self.server = Server(
+            platform(**more), self.timers, self, self.now, 0.0, lambda event, **_: self.notes.append(event)
+        )
+        self.serial = 0
+        self.attempts: dict[str, int] = {}  # set-ups that are out, and where
+        self.connect()
+        for office in (11, 12):
+            self.says(self.link(office), "usage", "", load="free:20;size:20")
+
+    # -- the port
+
+    def dial(self, conn: int, address: Address) -> None:
+        self.dialled[conn] = address
+
+    def send(self, conn: int, data: bytes) -> None:
+        assert conn not in self.closed
+        message = jsonl.decode(data.rstrip(b"\n"))
+        self.out.append((conn, message))
+        if message.kind == jsonl.LAUNCH:
+            assert message.uid not in self.attempts, "two attempts of one call"
+            self.attempts[message.uid] = conn
+        elif message.kind == jsonl.STOP and self.attempts.get(message.uid) == conn:
+            del self.attempts[message.uid]
+
+    def close(self, conn: int, reason: str) -> None:
+        self.closed[conn] = reason
+        self._ended(conn)
+
+    def _ended(self, conn: int) -> None:
+        """Closing a connection gives up the set-ups open on it."""
+        self.attempts = {uid: where for uid, where in self.attempts.items() if where != conn}
+
+    def breaks(self, conn: int) -> None:
+        self._ended(conn)
+        self.server.link_lost(self.now, conn)
+
+    def datagram(self, to: Address, body: bytes) -> None:
+        self.datagrams.append((to, body))
+
+    # -- what happens
+
+    def connect(self) -> None:
+        """Every connection that is being opened comes up."""
+        while self.dialled:
+            conn, _ = self.dialled.popitem()
+            self.server.link_opened(self.now, conn)
+
+    def refuse(self, refused: bool = True) -> None:
+        for conn in list(self.dialled):
+            del self.dialled[conn]
+            self.server.link_failed(self.now, conn, refused)
+
+    def passes(self, ms: float, connect: bool = True) -> None:
+        end = self.now + ms
+        while (due := self.timers.next()) is not None and due <= end:
+            self.now = max(self.now, due)
+            self.timers.run(self.now)
+            if connect:
+                self.connect()
+        self.now = end
+
+    def link(self, office: int) -> int:
+        return next(iter(self.server.pools[office].links))
+
+    def client(self) -> int:
+        conn = self.server.client_opened(self.now)
+        assert conn is not None
+        return conn
+
+    def line(self, conn: int, message: Message) -> None:
+        self.server.client_line(self.now, conn, jsonl.encode(message).rstrip(b"\n"))
+
+    def uid(self) -> str:
+        self.serial += 1
+        return f"{self.serial:016x}"
+
+    def launch(self, conn: int, dest: int = 1, uid: str = "", words: str = "", **meta: Any) -> str:
+        uid = uid or self.uid()
+        fields = {
+            "class": "voice", "left": "1500", "tenant": "acme", "key": "7f3a9c21e0b4d655",
+            "extras": f"dest:{dest};width:1;via:-1{words}", **meta,
+        }  # fmt: skip
+        self.line(conn, Message(jsonl.LAUNCH, uid, fields, body="an offer"))
+        return uid
+
+    def says(
+        self, conn: int, kind: str, uid: str, reason: int = 0, body: str | None = None, **meta: Any
+    ) -> None:
+        message = Message(kind, uid or "0" * 16, meta, reason, body)
+        if kind in ("running", "stop") and self.attempts.get(uid) == conn:
+            del self.attempts[uid]
+        self.server.link_line(self.now, conn, jsonl.encode(message).rstrip(b"\n"))
+
+    def news(self, number: int, *records: frames.Record, kind: int = frames.CHANGES) -> None:
+        self.server.news(self.now, frames.Frame(number, kind, records))
+
+    # -- what was seen
+
+    def to(self, uid: str, conn: int | None = None, kind: str = "") -> list[Message]:
+        return [m for c, m in self.out if m.uid == uid and conn in (None, c) and kind in ("", m.kind)]
+
+    def sent(self, uid: str) -> int:
+        """The connection on which the newest set-up of a call went to an office."""
+        return [c for c, m in self.out if m.uid == uid and m.kind == jsonl.LAUNCH][-1]
+
+    def stands(self, conn: int, dest: int = 1) -> tuple[str, int]:
+        uid = self.launch(conn, dest)
+        self.connect()
+        link = self.sent(uid)
+        self.says(link, "running", uid, body="an answer")
+        return uid, link
+
+
+def record(
+    office: int, cell: int, state: int = frames.READY, port: int = 0, started: int = 0
+) -> frames.Record:
+    return frames.Record(office, "127.0.0.1", port or 4000 + office, state, 0, 0, cell, 1000, started)
--- /dev/null
+++ b/tests/test_access_sockets.py
@@ -0,0 +1,209 @@
+"""The platform's front on loopback, with small stand-ins for callers, offices and journal service."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from ospreybridge.fronts.access import Front
+from ospreybridge.net.loop import Loop
+from ospreybridge.settings.platform import build
+from ospreybridge.signalling import frames
+from ospreybridge.standins.platform import CallerStandIn, JournalService, OfficeStandIn
+from tests.platform_rig import config, member, record
+
+WITHIN = 10_000.0  # ms: far more than anything here takes
+
+
+class World:
+    def __init__(self) -> None:
+        self.loop = Loop()
+        self.offices = [OfficeStandIn(self.loop) for _ in range(3)]
+        self.records = [record(10 + cell, cell, port=x.port) for cell, x in enumerate(self.offices)]
+        self.journal = JournalService(self.loop, [frames.Frame(1, frames.WHOLE, tuple(self.records))])
+        self.serial = 0
+
+    def config(self) -> dict[str, object]:
+        members = [member(10 + cell, cell, port=x.port) for cell, x in enumerate(self.offices)]
+        return config(
+            known={"pos": 1, "entries": [{"pos": 1, "hosts": {"complete": True, "members": members}}]},
+            journal=f"127.0.0.1:{self.journal.port}",
+        )
+
+    def serve(self) -> Front:
+        self.loop.failed = lambda name, error: pytest.fail(f"{name}: {error!r}")
+        front = Front(self.loop, build("config.json", self.config()), 0.0)
+        self.until(lambda: all(len(pool.links) == 2 for pool in front.core.pools.values()))
+        return front
+
+    def until(self, condition: object) -> None:
+        assert callable(condition) and self.loop.run_until(condition, WITHIN), "not in time"
+
+    def call(self, caller: CallerStandIn, dest: int = 1, left: int = 1_500) -> str:
+        self.serial += 1
+        uid = f"{self.serial:016x}"
+        caller.launch(uid, dest, left)
+        return uid
+
+
+@pytest.fixture
+def world() -> Iterator[World]:
+    found = World()
+    yield found
+    found.loop.close()
+    for place in (*found.offices, found.journal):
+        with contextlib.suppress(OSError):
+            place.sock.close()
+
+
+def test_calm_calls_stand_and_end(world: World) -> None:
+    front = world.serve()
+    caller = CallerStandIn(world.loop, front.port)
+    uids = [world.call(caller, 1 + number % 2) for number in range(20)]
+    world.until(lambda: all(caller.kinds(uid) == ["running"] for uid in uids))
+    assert all(caller.answers[uid][0].body == f"of {uid}" for uid in uids)
+    for uid in uids:
+        next(x for x in world.offices if uid in x.stands).release(uid)
+    world.until(lambda: all(caller.kinds(uid) == ["running", "stop"] for uid in uids))
+    assert not front.core.standing and not front.core.calls
+
+
+def test_a_spoilt_answer_costs_its_own_call_one_attempt_and_no_other_anything(world: World) -> None:
+    front = world.serve()
+    caller = CallerStandIn(world.loop, front.port)
+    world.offices[1].mute = True
+    held = world.call(caller)
+    world.until(lambda: world.offices[1].asked == [held])
+    world.offices[1].mute, world.offices[1].spoil = False, b"\x00\xff{{{\n"
+    spoilt = world.call(caller)
+    world.until(lambda: caller.kinds(spoilt) == ["running"])
+    assert world.offices[1].asked.count(spoilt) == 2 and world.offices[1].asked.count(held) == 1
+    assert front.core.counts["attempts reset"] == 1 and held in front.core.pending
+
+
+def test_a_silent_crowd_harms_no_usual_caller(world: World) -> None:
+    front = world.serve()
+    caller = CallerStandIn(world.loop, front.port)
+    first = world.call(caller)
+    world.until(lambda: caller.kinds(first) == ["running"])
+    crowd = []
+    for _ in range(300):
+        sock = socket.socket()
+        sock.setblocking(False)
+        sock.connect_ex(("127.0.0.1", front.port))
+        crowd.append(sock)
+    uids = [world.call(caller) for _ in range(5)]
+    world.until(lambda: all(caller.kinds(uid) == ["running"] for uid in uids))
+    world.until(lambda: len(front.core.clients) == 1)
+    assert not caller.gone
+    for sock in crowd:
+        sock.close()
+
+
+def test_endless_and_half_messages_are_closed(world: World) -> None:
+    front = world.serve()
+    endless, half = (CallerStandIn(world.loop, front.port) for _ in range(2))
+    half.stream.write(b'{"kind":"launch"')
+    endless.stream.limit = 1 << 24
+    endless.stream.write(b"x" * (1 << 20))
+    world.until(lambda: endless.gone and half.gone)
+    assert not front.core.clients
+
+
+def test_the_feed_is_asked_again_after_a_break_and_after_a_silence(world: World) -> None:
+    front = world.serve()
+    world.until(lambda: world.journal.asked == [1])
+    world.journal.streams[0].close("breaks")
+    world.until(lambda: world.journal.asked == [1, 1])
+    world.journal.tell(frames.Frame(2, frames.CHANGES, (record(11, 1, frames.DRAINING),)))
+    world.until(lambda: front.core.offices.last == 2)
+    world.journal.mute = True  # open, and silent from now on
+    world.until(lambda: world.journal.asked == [1, 1, 2])
+
+
+@contextlib.contextmanager
+def process(world: World, path: Path) -> Iterator[tuple[subprocess.Popen[bytes], int]]:
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        port = free.getsockname()[1]
+    tree = {**world.config(), "listen": f"127.0.0.1:{port}"}
+    path.write_text(json.dumps(tree))
+    command = [sys.executable, "-m", "ospreybridge", "serve"]
+    with open(path.with_suffix(".log"), "wb") as log:
+        child = subprocess.Popen(command, env={**os.environ, "ROUTER_CONFIG": str(path)}, stderr=log)
+    try:
+        world.until(lambda: b'"serving"' in path.with_suffix(".log").read_bytes())
+        yield child, port
+    finally:
+        child.kill()
+        child.wait()
+
+
+def test_sighup_moves_the_feed_and_a_broken_file_changes_nothing(world: World, tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    with process(world, path) as (child, port):
+        world.until(lambda: world.journal.asked == [1])
+        tree = json.loads(path.read_text())
+        path.write_text("{")
+        child.send_signal(signal.SIGHUP)
+        world.until(lambda: b"reload refused" in path.with_suffix(".log").read_bytes())
+        other = JournalService(world.loop, world.journal.events)
+        path.write_text(json.dumps({**tree, "journal": f"127.0.0.1:{other.port}"}))
+        child.send_signal(signal.SIGHUP)
+        world.until(lambda: other.asked == [1])
+        caller = CallerStandIn(world.loop, port)
+        uid = world.call(caller)
+        world.until(lambda: caller.kinds(uid) == ["running"])
+        assert child.poll() is None
+
+
+def test_sigterm_with_calls_pending_answers_each_and_ends(world: World, tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    with process(world, path) as (child, port):
+        caller = CallerStandIn(world.loop, port)
+        stands = world.call(caller)
+        world.until(lambda: caller.kinds(stands) == ["running"])
+        world.offices[1].mute = True
+        pending = world.call(caller, left=3_000)
+        world.until(lambda: pending in world.offices[1].asked)
+        child.send_signal(signal.SIGTERM)
+        world.until(lambda: b'"stopping"' in path.with_suffix(".log").read_bytes())
+        world.offices[1].release(stands)
+        world.until(lambda: caller.kinds(stands) == ["running", "stop"])
+        world.until(lambda: caller.kinds(pending) == ["stop"])
+        world.until(lambda: child.poll() == 0)
+
+
+@pytest.mark.parametrize("content", [None, "{", '{"name": 5}'])
+def test_a_bad_configuration_ends_with_code_2_and_a_line_a_fault(tmp_path: Path, content: str | None) -> None:
+    path = tmp_path / "config.json"
+    env = {**os.environ, "ROUTER_CONFIG": str(path)}
+    if content is None:
+        del env["ROUTER_CONFIG"]
+    else:
+        path.write_text(content)
+    done = subprocess.run(
+        [sys.executable, "-m", "ospreybridge", "serve"], env=env, capture_output=True, text=True, timeout=60
+    )
+    lines = done.stderr.splitlines()
+    assert done.returncode == 2 and done.stdout == "" and lines
+    assert all(("expected" in line or "JSON" in line) and "Traceback" not in line for line in lines)
+
+
+def test_serving_on_the_platform_imports_nothing_heavy() -> None:
+    code = (
+        "import sys, ospreybridge.cli.main, ospreybridge.cli.logs, ospreybridge.daemon.platform\n"
+        "print([m for m in ('cryptography', 'numpy', 'kdl', 'pcapng', 'hdrh') if m in sys.modules])"
+    )
+    command = [sys.executable, "-c", code]
+    done = subprocess.run(command, capture_output=True, text=True, timeout=60, check=True)
+    assert done.stdout.strip() == "[]"
--- /dev/null
+++ b/tests/test_platform_forms.py
@@ -0,0 +1,197 @@
+"""The platform's two codecs over arbitrary octets and cuts; its configuration with every kind of fault."""
+
+from __future__ import annotations
+
+import json
+from itertools import pairwise
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+
+from ospreybridge import interface as i
+from ospreybridge.settings.faults import SettingsError
+from ospreybridge.settings.instance import Pairs, read, read_report
+from ospreybridge.settings.platform import build, load
+from ospreybridge.signalling import frames, jsonl
+from ospreybridge.signalling.errors import FrameError, MessageError
+from tests.platform_rig import SETTINGS, config, member, platform
+
+SAME = hypothesis_settings(deadline=None, derandomize=True, database=None)
+TEXT = st.text(max_size=40)
+MESSAGES = st.builds(
+    jsonl.Message,
+    st.sampled_from(sorted(jsonl.KINDS)),
+    st.integers(0, (1 << 64) - 1).map(lambda n: f"{n:016x}"),
+    st.dictionaries(TEXT, TEXT | st.integers(-(1 << 50), 1 << 50), max_size=6),
+    st.just(0),
+    st.none() | TEXT,
+)
+RECORDS = st.builds(
+    frames.Record, st.integers(0, (1 << 32) - 1),
+    st.tuples(*[st.integers(0, 255)] * 4).map(lambda octets: ".".join(map(str, octets))),
+    st.integers(0, 65_535), st.integers(0, 2), st.integers(0, 255), st.integers(0, 255),
+    st.integers(0, 65_535), st.integers(0, (1 << 32) - 1), st.integers(0, (1 << 53)),
+)  # fmt: skip
+FRAMES = st.integers(0, 1 << 61).flatmap(
+    lambda number: st.just(frames.Frame(number, frames.NOTHING))
+    | st.builds(
+        frames.Frame, st.just(number), st.sampled_from((1, 2)), st.lists(RECORDS, max_size=4).map(tuple)
+    )
+)
+
+
+def cut(data: bytes, cuts: list[int]) -> list[bytes]:
+    at = [0, *sorted(c % (len(data) + 1) for c in cuts), len(data)]
+    return [data[a:b] for a, b in pairwise(at)]
+
+
+@SAME
+@given(st.lists(MESSAGES, max_size=6), st.lists(st.integers(0, 10_000), max_size=8))
+def test_messages_come_back_whole_however_cut(messages: list[jsonl.Message], cuts: list[int]) -> None:
+    splitter = jsonl.Splitter()
+    parts = cut(b"".join(map(jsonl.encode, messages)), cuts)
+    lines = [line for part in parts for line in splitter.feed(part)]
+    assert [jsonl.decode(line) for line in lines] == messages and splitter.rest == b""
+
+
+@SAME
+@given(st.binary(max_size=400))
+def test_any_octets_are_a_message_or_a_named_error(data: bytes) -> None:
+    try:
+        for line in jsonl.Splitter().feed(data + b"\n"):
+            assert jsonl.decode(line).kind in jsonl.KINDS
+    except MessageError as error:
+        assert str(error)
+
+
+def test_a_line_that_never_ends_is_refused_before_it_fills_the_memory() -> None:
+    splitter = jsonl.Splitter()
+    with pytest.raises(FrameError):
+        for _ in range(100):
+            splitter.feed(b"x" * 1_000)
+    assert len(splitter.rest) <= jsonl.LONGEST + 1_000
+    with pytest.raises(FrameError):
+        jsonl.Splitter().feed(b"y" * jsonl.LONGEST + b"\n")
+
+
+@pytest.mark.parametrize("line", [
+    b'{"kind":"stop","uid":"9b1f03aa5c7e2d41","reason":NaN}',
+    b'{"kind":"stop","uid":"9b1f03aa5c7e2d41","reason":true}',
+    b'{"kind":"stop","uid":"9b1f03aa5c7e2d41","reason":999}', b'{"kind":"stop","uid":"9B1F03AA5C7E2D41"}',
+    b'{"kind":"launch","uid":"9b1f03aa5c7e2d41","meta":{"a":{}}}',
+    b'{"kind":["launch"],"uid":"9b1f03aa5c7e2d41"}',
+    b'{"kind":"launch","uid":"9b1f03aa5c7e2d41","body":5}', b"\xff", b"",
+])  # fmt: skip
+def test_messages_that_can_not_be_meant_are_refused(line: bytes) -> None:
+    with pytest.raises(MessageError):
+        jsonl.decode(line)
+
+
+@pytest.mark.parametrize("value", [None, "", "nan", "inf", "-inf", "1e400", "9" * 30, "five"])
+def test_figures_that_are_none_are_refused(value: Any) -> None:
+    with pytest.raises(MessageError):
+        jsonl.number(value, "left")
+
+
+@SAME
+@given(st.lists(FRAMES, max_size=5), st.lists(st.integers(0, 10_000), max_size=8))
+def test_frames_come_back_whole_however_they_are_cut(events: list[frames.Frame], cuts: list[int]) -> None:
+    splitter = frames.Splitter()
+    parts = cut(b"".join(map(frames.encode, events)), cuts)
+    assert [frame for part in parts for frame in splitter.feed(part)] == events
+
+
+@SAME
+@given(st.lists(FRAMES, max_size=3), st.binary(max_size=80))
+def test_frames_before_nonsense_count_and_nothing_after_it(events: list[frames.Frame], noise: bytes) -> None:
+    splitter = frames.Splitter()
+    try:
+        found = splitter.feed(b"".join(map(frames.encode, events)) + b"\xff\xff\xff\xff" + noise)
+        assert found == events
+        with pytest.raises(FrameError):
+            splitter.feed(b"")
+    except FrameError:
+        assert not events
+
+
+@SAME
+@given(st.binary(max_size=200))
+def test_any_octets_are_frames_or_a_named_error(data: bytes) -> None:
+    splitter = frames.Splitter()
+    try:
+        assert all(frame.kind in (0, 1, 2) for frame in splitter.feed(data))
+    except FrameError as error:
+        assert str(error)
+
+
+# -- settings
+
+
+def test_one_reading_serves_the_wire_and_the_platform() -> None:
+    found = platform()
+    text = "\n".join(f"{key}={value}" for key, value in Pairs.of_object(SETTINGS).values.items())
+    assert read(Pairs.of_text(text)) == (found.settings, found.columns)
+    assert found.settings.classes[0].name == "voice" and found.settings.classes[0].hold == 2_000.0
+    assert found.settings.rules.release == 100.0 and found.settings.layout is i.Layout.MESH
+    assert [tenant.name for tenant in found.settings.tenants] == ["acme", "east end"]
+    assert read_report(found.columns, (3.0, -1.0)) == i.Report(free=3.0)
+    assert found.known[0].records[2].cell == 2 and found.seed == 255
+
+
+def faults(tree: Any) -> list[str]:
+    with pytest.raises(SettingsError) as caught:
+        build("c.json", tree)
+    return caught.value.faults
+
+
+def test_every_fault_is_named_with_its_key_and_what_was_expected() -> None:
+    tree = config(listen="here", seed="xyz", peers=["127.0.0.1:7100", "no"], journal=5, limits={"sockets": 1})
+    found = faults(tree)
+    keys = [line.split(": ")[1] for line in found]
+    assert keys == ["peers.1", "listen", "seed", "limits.sockets", "journal"]
+    assert all(line.startswith("c.json: ") and "expected" in line for line in found)
+
+
+@pytest.mark.parametrize(("key", "value", "named"), [
+    ("Classes", [], "Classes.count"), ("Rules", {"DrainGrace": -1.0}, "Rules.DrainGrace"),
+    ("Rules", {"DrainGrace": "soon"}, "Rules.DrainGrace"), ("Limits", 5, ""),
+])  # fmt: skip
+def test_settings_that_make_no_sense_are_refused_by_their_key(key: str, value: Any, named: str) -> None:
+    try:
+        build("c.json", config(settings={**SETTINGS, key: value}))
+    except SettingsError as error:
+        assert any(f"c.json: settings: {named}" in line for line in error.faults)
+    else:
+        assert not named  # absent limits are the interface's own
+
+
+def test_offices_of_the_start_are_checked_too() -> None:
+    bad = [{"id": 5}, "x", member(12, 2, host_port="a:b")]
+    members = [member(10, 0, "asleep"), member(11, 1, locality="west"), *bad]
+    hosts = {"complete": True, "members": members}
+    found = faults(config(known={"entries": [{"pos": 1, "hosts": hosts}, {}]}))
+    assert [line.split(": ")[1] for line in found][:2] == [
+        "known.entries.0.hosts.members.0.phase", "known.entries.0.hosts.members.1.locality",
+    ]  # fmt: skip
+    assert any("known.entries.1" in line for line in found)
+    assert any("members.4.host_port" in line for line in found)
+
+
+@pytest.mark.parametrize("content", [None, b"{", b"[]", b"\xff", b'"text"'])
+def test_a_file_that_is_none_is_one_line(tmp_path: Path, content: bytes | None) -> None:
+    path = tmp_path / "config.json"
+    if content is not None:
+        path.write_bytes(content)
+    with pytest.raises(SettingsError) as caught:
+        load(path)
+    assert len(caught.value.faults) == 1 and str(path) in caught.value.faults[0]
+
+
+def test_a_sound_file_is_read(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(config()))
+    assert load(path) == build(str(path), config())
