--- a/ospreybridge/access/server.py
+++ b/ospreybridge/access/server.py
@@ -733,6 +733,22 @@
         """Whether it may end: not before the last moment, as releases go on being passed."""
         return self.stopping is not None and now - self.stopping >= STOP_ENDS and not self.pending
 
+    def beliefs(self, now: float) -> dict[str, dict[str, Any]]:
+        """By office, what the module believes beside what passed: free circuits and unanswered set-ups."""
+        found = {}
+        for office, pool in self.pools.items():
+            known = self.module.offices.get(office)
+            out = sum(len(link.attempts) for link in pool.links.values()) + len(pool.waiting)
+            found[frames.office_name(office)] = {
+                "state": known.state.name if known else "GONE", "cell": known.cell if known else -1,
+                "free": known.free if known else None, "told": pool.load,
+                "window": round(known.window, 2) if known else None,
+                "pending": len(known.pending) if known else 0, "out": out,
+                "standing": len(self.standing_at.get(office, ())), "links": len(pool.links),
+                "heard": round(now - pool.heard), "failures": pool.failures,
+            }  # fmt: skip
+        return found
+
     # -- out
 
     def _say(self, conn: int, message: Message) -> None:
--- a/ospreybridge/daemon/platform.py
+++ b/ospreybridge/daemon/platform.py
@@ -52,10 +52,7 @@
                 "figures", pending=len(core.pending), standing=len(core.standing), clients=len(core.clients),
                 links=core.links, late=round(self.loop.timers.lateness.worst, 1),
                 finals=dict(core.finals), counts=dict(core.counts),
-                offices={
-                    x.cell: [x.state.name, x.free, round(x.window, 2), len(x.pending)]
-                    for x in core.module.offices.values()
-                },
+                offices=core.beliefs(self.loop.now),
             )  # fmt: skip
 
     def stop(self) -> None:
--- a/tests/test_access.py
+++ b/tests/test_access.py
@@ -444,6 +444,16 @@
     assert len(rig.to(held, client)) == 1 and len(rig.to(uid, client)) == 1 and rig.server.stopped(rig.now)
 
 
+def test_what_is_believed_stands_beside_what_passed() -> None:
+    rig = Rig()
+    client = rig.client()
+    rig.launch(client)
+    rig.stands(client)
+    found = rig.server.beliefs(rig.now)["s-0000000b"]
+    assert (found["pending"], found["out"], found["standing"], found["free"]) == (1, 1, 1, 18.0)
+    assert found["told"] == "free:20;size:20"
+
+
 class Calls(RuleBasedStateMachine):
     """Whatever comes in whatever order: one final at most, one attempt at most, in the end none owed."""
 
