--- a/ospreybridge/access/pool.py
+++ b/ospreybridge/access/pool.py
@@ -14,6 +14,7 @@
 
 SPARE = 2  # idle connections held to an office that takes calls: one for its news, one for the next set-up
 IDLE = 8_000.0  # ms after which an idle connection beyond the spare ones is given back
+RETIRED = 1_000.0  # ms for which a connection that takes no more set-ups is still read
 FIRST_PAUSE = 60.0  # ms between attempts to open one, doubled after each failure
 LONGEST_PAUSE = 1_000.0  # ms: an office that is back must be heard within a second
 QUIET = 1_000.0  # ms without a word after which a new connection is opened, to see whether it lives
@@ -23,10 +24,11 @@
 
 
 class Link:
-    __slots__ = ("attempts", "conn", "idle_since")
+    __slots__ = ("attempts", "conn", "idle_since", "retired")
 
     def __init__(self, conn: int, now: float) -> None:
         self.conn, self.idle_since = conn, now
+        self.retired = False  # takes no more set-ups: what is still on its way may arrive, then it is closed
         self.attempts: dict[str, Attempt] = {}  # set-ups written to it that wait for their answer
 
 
@@ -46,17 +48,31 @@
     def size(self) -> int:
         return len(self.links) + len(self.dialling)
 
+    def idle(self) -> list[Link]:
+        return [link for link in self.links.values() if not link.attempts and not link.retired]
+
     def take(self, may_open: bool) -> tuple[Link | None, bool]:
         """The connection for the set-up that waits longest, or whether to open one; else it waits on."""
-        idle = [link for link in self.links.values() if not link.attempts]
+        idle = self.idle()
         if idle:  # the one last used: the others can go back
             return max(idle, key=lambda link: link.idle_since), False
         if may_open:
             return None, len(self.dialling) < len(self.waiting)
-        if not self.dialling and self.links:
-            return min(self.links.values(), key=lambda link: len(link.attempts)), False
+        shared = [link for link in self.links.values() if not link.retired]
+        if not self.dialling and shared:
+            return min(shared, key=lambda link: len(link.attempts)), False
         return None, False
 
+    def retire(self, conn: int, now: float) -> None:
+        """A set-up on it was not answered in time, or its machine was away: an open connection may be dead.
+
+        Guards against connections that a machine left open when it vanished: they never break, and each
+        set-up written to one is lost. Harm: a slow office has a connection opened anew for each time-out.
+        """
+        link = self.links.get(conn)
+        if link is not None and not link.retired:
+            link.retired, link.idle_since = True, now
+
     def wanted(self, now: float, may_open: bool, ready: bool, standing: bool) -> bool:
         """Whether to open a connection now that no set-up asked for.
 
@@ -65,8 +81,7 @@
         """
         if now < self.next_dial or self.dialling or not (ready or standing):
             return False
-        idle = sum(not link.attempts for link in self.links.values())
-        spare = idle < SPARE and may_open and (ready or not self.links)
+        spare = len(self.idle()) < SPARE and may_open and (ready or not self.links)
         return spare or now - self.heard >= QUIET
 
     def news(self, now: float, link: Link, load: str) -> bool:
@@ -87,6 +102,8 @@
 
     def opened(self, now: float, conn: int) -> Link:
         self.dialling.discard(conn)
+        for older in self.links if self.failures else ():
+            self.retire(older, now)
         self.heard, self.failures, self.refused = now, 0, False
         link = self.links[conn] = Link(conn, now)
         return link
@@ -111,6 +128,7 @@
 
     def surplus(self, now: float) -> list[int]:
         """Idle connections to give back."""
-        idle = [link for link in self.links.values() if not link.attempts]
-        idle.sort(key=lambda link: -link.idle_since)
-        return [link.conn for link in idle[SPARE:] if now - link.idle_since >= IDLE]
+        idle = sorted(self.idle(), key=lambda link: -link.idle_since)
+        old = [link.conn for link in idle[SPARE:] if now - link.idle_since >= IDLE]
+        retired = [link for link in self.links.values() if link.retired and not link.attempts]
+        return old + [link.conn for link in retired if now - link.idle_since >= RETIRED]
--- a/ospreybridge/access/server.py
+++ b/ospreybridge/access/server.py
@@ -302,7 +302,9 @@
             self._say(client.conn, Message(jsonl.STOP, uid, {}, release.cause))
 
     def _office_lost(self, now: float, office: int, why: str) -> None:
-        """What stood there is over: its callers are told, and the module."""
+        """What stood there is over: its callers are told, and the module. Old connections are of no use."""
+        for conn in self.pools[office].links if office in self.pools else ():
+            self.pools[office].retire(conn, now)
         calls = list(self.standing_at.get(office, {}).values())
         if calls:
             self.note("standing calls lost", office=frames.office_name(office), calls=len(calls), reason=why)
@@ -399,6 +401,7 @@
             self._attempt_over(now, attempt, i.Result.CONNECT_FAILED)
         else:
             self._say(attempt.link, Message(jsonl.STOP, attempt.call.uid, {}, causes.NORMAL))
+            self.pools[attempt.office].retire(attempt.link, now)
             self._attempt_over(now, attempt, i.Result.TIMEOUT)
         self._run(now)
 
@@ -706,6 +709,7 @@
             for conn in pool.surplus(now):
                 self.link_lost(now, conn)
                 self.port.close(conn, "idle")
+            self._serve(now, pool)
         for client in self.admission.mute(now, self.clients.values()):
             self.counts["clients mute"] += 1
             self.port.close(client.conn, "nothing said in time")
--- a/tests/test_access.py
+++ b/tests/test_access.py
@@ -372,6 +372,38 @@
     assert len(rig.server.pools[11].links) == SPARE
 
 
+def test_connections_left_open_by_a_machine_that_vanished_carry_no_set_up_when_it_is_back() -> None:
+    """Seen on the fleet day: set-ups to an exchange that was back went out on connections long dead."""
+    rig = Rig()
+    rig.passes(100.0)
+    dead = set(rig.server.pools[11].links)
+    for _ in range(20):  # nothing is heard, nothing comes up
+        rig.passes(250.0, connect=False)
+        rig.refuse(refused=False)
+    rig.passes(2_000.0)  # it is back
+    assert rig.server.pools[11].failures == 0
+    client = rig.client()
+    for number in range(3):
+        assert rig.stands(client)[1] not in dead, number
+    assert not dead & set(rig.server.pools[11].links)
+
+
+def test_a_set_up_that_was_not_answered_has_its_connection_taken_out_of_use() -> None:
+    rig = Rig()
+    client = rig.client()
+    uid = rig.launch(client)
+    link = rig.sent(uid)
+    rig.passes(501.0)
+    later = rig.launch(client)
+    rig.connect()
+    rig.passes(400.0)
+    assert rig.sent(later) != link and link not in rig.closed
+    rig.says(link, "running", uid, body="crossed the give-up")
+    assert not rig.to(uid, client, "running")
+    rig.passes(1_000.0)
+    assert link in rig.closed
+
+
 def test_news_of_a_group_count_once_though_every_connection_brings_them() -> None:
     rig = Rig()
     rig.passes(100.0)
