--- a/ospreybridge/access/admission.py
+++ b/ospreybridge/access/admission.py
@@ -23,10 +23,8 @@
         self.office_links = max(4, int(free * OFFICES_SHARE))
         self.clients = free - self.office_links
 
-    def makes_room(self, clients: Iterable[Client], count: int) -> Client | None:
-        """The connection to close before another is taken in; None while there is room, or for none."""
-        if count < self.clients:
-            return None
+    def makes_room(self, clients: Iterable[Client]) -> Client | None:
+        """The connection to close before another is taken in; None where every one has an open set-up."""
         idle = [client for client in clients if not client.calls]
         return min(idle, key=lambda client: (client.trust, client.active), default=None)
 
--- a/ospreybridge/access/pool.py
+++ b/ospreybridge/access/pool.py
@@ -51,6 +51,10 @@
     def idle(self) -> list[Link]:
         return [link for link in self.links.values() if not link.attempts and not link.retired]
 
+    def any(self) -> Link | None:
+        """One that may carry what belongs to no set-up; one taken out of use only where there is no other."""
+        return min(self.links.values(), key=lambda link: link.retired, default=None)
+
     def take(self, may_open: bool) -> tuple[Link | None, bool]:
         """The connection for the set-up that waits longest, or whether to open one; else it waits on."""
         idle = self.idle()
--- a/ospreybridge/access/server.py
+++ b/ospreybridge/access/server.py
@@ -71,7 +71,6 @@
         self.clients: dict[int, Client] = {}
         self.pools: dict[int, Pool] = {}
         self.linked: dict[int, Pool] = {}  # by connection, open or being opened
-        self.links = 0
         self.calls: dict[int, Call] = {}  # what the module may speak of
         self.pending: dict[str, Call] = {}
         self.standing: dict[str, Call] = {}
@@ -94,7 +93,7 @@
     def client_opened(self, now: float) -> int | None:
         """The number of a connection that came in; None where it is to be closed at once."""
         while self.admission.full(len(self.clients)):
-            goes = self.admission.makes_room(self.clients.values(), len(self.clients))
+            goes = self.admission.makes_room(self.clients.values())
             if goes is None:
                 self.counts["clients turned away"] += 1
                 return None
@@ -456,7 +455,7 @@
     def _serve(self, now: float, pool: Pool) -> None:
         """Set-ups that wait for a connection get one, in their order, or have one opened."""
         while pool.waiting:
-            link, opens = pool.take(self.links < self.admission.office_links)
+            link, opens = pool.take(len(self.linked) < self.admission.office_links)
             if link is not None:
                 self._write(now, pool, link, pool.waiting.popleft())
             elif opens:
@@ -475,7 +474,6 @@
         pool.dialling.add(conn)
         pool.dialled(now)
         self.linked[conn] = pool
-        self.links += 1
         self.port.dial(conn, office.address)
 
     def link_opened(self, now: float, conn: int) -> None:
@@ -492,7 +490,6 @@
         pool = self.linked.pop(conn, None)
         if pool is None:
             return
-        self.links -= 1
         if not pool.failures:
             self.note(
                 "office not reached", office=frames.office_name(pool.office), refused=refused,
@@ -529,7 +526,6 @@
         pool = self.linked.pop(conn, None)
         if pool is None:
             return
-        self.links -= 1
         link = pool.links.pop(conn, None)
         pool.dialling.discard(conn)
         for attempt in list(link.attempts.values()) if link is not None else ():
@@ -628,7 +624,7 @@
 
     def _probe(self, now: float, office: int) -> None:
         pool = self.pools.get(office)
-        link = next(iter(pool.links.values()), None) if pool is not None else None
+        link = pool.any() if pool is not None else None
         if link is None:
             self.events.append(i.Probed(office, i.Result.CONNECT_FAILED))
             return
@@ -645,7 +641,7 @@
 
     def _tell_office(self, now: float, office: int, message: Message) -> None:
         pool = self.pools.get(office)
-        link = next(iter(pool.links.values()), None) if pool is not None else None
+        link = pool.any() if pool is not None else None
         if link is not None:
             self._say(link.conn, message)
 
@@ -683,7 +679,6 @@
             self._attempt_over(now, attempt, i.Result.CONNECT_FAILED)
         for conn in [*pool.links, *pool.dialling]:
             self.linked.pop(conn, None)
-            self.links -= 1
             self.port.close(conn, "its office is gone")
 
     # -- time
@@ -703,7 +698,7 @@
                     continue
             standing = pool.office in self.standing_at and not (gone and office.address in taken)
             ready = office.readiness is i.Readiness.READY
-            if pool.wanted(now, self.links < self.admission.office_links, ready, standing):
+            if pool.wanted(now, len(self.linked) < self.admission.office_links, ready, standing):
                 self._dial(now, pool)
             self._judge(now, pool)
             for conn in pool.surplus(now):
--- a/ospreybridge/daemon/platform.py
+++ b/ospreybridge/daemon/platform.py
@@ -50,7 +50,7 @@
             core = self.core
             self.log(
                 "figures", pending=len(core.pending), standing=len(core.standing), clients=len(core.clients),
-                links=core.links, late=round(self.loop.timers.lateness.worst, 1),
+                links=len(core.linked), late=round(self.loop.timers.lateness.worst, 1),
                 finals=dict(core.finals), counts=dict(core.counts),
                 offices=core.beliefs(self.loop.now),
             )  # fmt: skip
--- a/ospreybridge/fronts/access.py
+++ b/ospreybridge/fronts/access.py
@@ -33,7 +33,7 @@
         self.streams: dict[int, tcp.Stream] = {}
         self.lingering = 0
         self.callers: set[int] = set()  # connections that came in
-        self.closed: set[int] = set()  # connections given up while being opened
+        self.dialling: set[int] = set()  # connections being opened and still wanted
         self.udp: socket.socket | None = None
         self.core = Server(platform, loop.timers, self, loop.now, unix, log, trace)
         self.listener = tcp.listening(platform.listen)
@@ -82,6 +82,7 @@
     # -- offices
 
     def dial(self, conn: int, address: Address) -> None:
+        self.dialling.add(conn)
         self.loop.spawn(self._dialling(conn, address))
 
     def _dialling(self, conn: int, address: Address) -> Task:
@@ -91,13 +92,13 @@
             sock = yield from tcp.dial(self.loop, address, within)
         except OSError as error:
             refused = error.errno == errno.ECONNREFUSED
-            self.closed.discard(conn)
+            self.dialling.discard(conn)
             self.core.link_failed(self.loop.now, conn, refused)
             return
-        if conn in self.closed:
-            self.closed.discard(conn)
+        if conn not in self.dialling:
             sock.close()
             return
+        self.dialling.discard(conn)
         stream = self.streams[conn] = tcp.Stream(self.loop, sock, OUT_LIMIT)
         stream.on_close = lambda reason: self._link_gone(conn)
         self.core.link_opened(self.loop.now, conn)
@@ -129,7 +130,7 @@
     def close(self, conn: int, reason: str) -> None:
         stream = self.streams.get(conn)
         if stream is None:
-            self.closed.add(conn)
+            self.dialling.discard(conn)
             return
         stream.flush()
         words = conn in self.callers and stream.wrote and not stream.closed
@@ -178,7 +179,6 @@
 
     def _feeding(self) -> Task:
         while True:
-            heard = self.feed.heard
             moved = self.moved
             try:
                 sock = yield from tcp.dial(self.loop, self.p.journal, DIAL_WITHIN)
@@ -190,7 +190,6 @@
             self.feeding = None
             if moved == self.moved:
                 yield "sleep", self.feed.pause()
-            _ = heard
 
     def _events(self, stream: tcp.Stream) -> Generator[Trap, None, None]:
         splitter = frames.Splitter()
--- a/tests/test_access.py
+++ b/tests/test_access.py
@@ -134,7 +134,7 @@
     uids = [rig.launch(client) for _ in range(8)]
     rig.connect()
     used = Counter(rig.sent(uid) for uid in uids)
-    assert len(used) < 8 and rig.server.links <= rig.server.admission.office_links
+    assert len(used) < 8 and len(rig.server.linked) <= rig.server.admission.office_links
     for uid in uids:
         rig.says(rig.sent(uid), "running", uid, body="an answer")
     assert len(rig.server.standing) == 8
