--- a/review/1/play.py
+++ b/review/1/play.py
@@ -69,7 +69,7 @@
                 broken.append(f"{uid}: its office released it at {at:.0f}; its caller was never told")
             elif told[0] - at > WITHIN_MS:
                 broken.append(
-                    f"{uid}: its office released it at {at:.0f}; its caller heard it {told[0] - at:.0f} ms later"
+                    f"{uid}: its office released it at {at:.0f}; its caller heard {told[0] - at:.0f} ms later"
                 )
         late = sum(
             1
--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -590,5 +590,6 @@
     for text in broken:
         log("case", f"BROKEN: {text}")
     log("case", f"{'broken' if broken else 'held'}: {len(broken)} faults")
-    print(f"{'broken' if broken else 'held'}: {len(broken)} faults" + "".join(f"\n  {x}" for x in broken[:5]))
+    with contextlib.suppress(OSError):
+        print(f"{'broken' if broken else 'held'}: {len(broken)} faults", *broken[:5], sep="\n  ", flush=True)
     sys.exit(1 if broken else 0)
