--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -235,6 +235,7 @@
         self.started_unix_ms = 0
         self.away = False
         self.spoil_next = False  # the next answer stops short
+        self.resetting = False
         self.fillers: list[socket.socket] = []
         self.listener = socket.socket()
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -271,6 +272,9 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         link = Link(sock)
         self.links.append(link)
+        if self.resetting:
+            self._drop(link, reset=True)
+            return
         asyncio.get_running_loop().add_reader(sock, self._readable, link)
         self._send(link, line("usage", "0" * 16, {"load": self._load()}))
         for uid, cause in self.to_release.items():
@@ -371,12 +375,20 @@
 
     # -- disruptions
 
-    def reset_links(self) -> None:
-        """Resets every connection on which no set-up is open."""
-        idle = [link for link in self.links if not link.open]
-        self.note("reset", "", f"of {len(idle)} idle connections")
-        for link in idle:
-            self._drop(link, reset=True)
+    async def reset_for(self, ms: float) -> None:
+        """For this time each connection is reset: an idle one at once, a new one when it has come up.
+
+        One with an open set-up is reset after the answer.
+        """
+        self.note("resets", "", f"begin, for {ms:.0f} ms")
+        self.resetting = True
+        end = self.log.now() + ms
+        while self.log.now() < end:
+            for link in [link for link in self.links if not link.open]:
+                self._drop(link, reset=True)
+            await asyncio.sleep(0.002)
+        self.resetting = False
+        self.note("resets", "", "end")
 
     async def vanish(self) -> list[str]:
         """The machine goes silent: connections stay open, new ones never come up, its calls are cut."""
@@ -578,12 +590,17 @@
     log("case", f"trouble {'on' if trouble else 'off'}")
 
     async def run() -> list[str]:
+        current = asyncio.current_task()
+        assert current is not None
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, current.cancel
+        )  # ends its processes too
         with tempfile.TemporaryDirectory() as temporary:
             return await asyncio.wait_for(play(log, Path(temporary), trouble), limit_s)
 
     try:
         broken = asyncio.run(run())
-    except Exception as error:  # whatever it was, the rule was not tested
+    except (Exception, asyncio.CancelledError) as error:  # whatever it was, the rule was not tested
         log("case", f"could not run: {error!r}")
         print(f"could not run: {error!r}")
         sys.exit(2)
