--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -592,9 +592,8 @@
     async def run() -> list[str]:
         current = asyncio.current_task()
         assert current is not None
-        asyncio.get_running_loop().add_signal_handler(
-            signal.SIGTERM, current.cancel
-        )  # ends its processes too
+        for number in (signal.SIGTERM, signal.SIGHUP):  # a case that is stopped ends its processes too
+            asyncio.get_running_loop().add_signal_handler(number, current.cancel)
         with tempfile.TemporaryDirectory() as temporary:
             return await asyncio.wait_for(play(log, Path(temporary), trouble), limit_s)
 
