Trace and count the life of connections to offices

The log had no line that says when a connection to an office opens, is retired or ends, so it couldn't tell them apart. `--log-calls` now has a line for each of these with office, connection and reason; three counters go with them.

--- a/ospreybridge/access/server.py
+++ b/ospreybridge/access/server.py
@@ -352,7 +352,7 @@
     def _end_office_calls(self, now: float, office_id: int, reason: str) -> None:
         """Ends all calls established at a lost office and retires the connections to it."""
         for connection_id in self.pools[office_id].connections if office_id in self.pools else ():
-            self.pools[office_id].retire(connection_id, now)
+            self._retire_connection(now, self.pools[office_id], connection_id)
         lost = list(self.established_by_office.get(office_id, {}).values())
         if lost:
             self.log_event(
@@ -462,7 +462,7 @@
             self._send(
                 attempt.connection_id, Message(jsonl.STOP, attempt.call.uid, {}, causes.NORMAL_CLEARING)
             )
-            self.pools[attempt.office_id].retire(attempt.connection_id, now)
+            self._retire_connection(now, self.pools[attempt.office_id], attempt.connection_id)
             self._end_attempt(now, attempt, interface.Result.TIMEOUT)
         self._process_events(now)
 
@@ -562,6 +562,8 @@
             self.transport.close(connection_id, "office removed from the list")
             return
         pool.dial_succeeded(now, connection_id)
+        self.counts["office connections opened"] += 1
+        self._trace_connection("connection opened", pool, connection_id)
         self._serve_waiting(now, pool)
         self._process_events(now)
 
@@ -607,15 +609,23 @@
         except MessageError as error:
             self.counts["offices unreadable"] += 1
             self.log_event("office unreadable", office=frames.office_name(pool.office_id), reason=str(error))
-            self.office_disconnected(now, connection_id)
+            self.office_disconnected(now, connection_id, str(error))
             self.transport.close(connection_id, str(error))
         self._process_events(now)
 
-    def office_disconnected(self, now: float, connection_id: int) -> None:
-        """A connection broke or sent invalid input: the attempts open on it end as RESET."""
+    def _retire_connection(self, now: float, pool: ConnectionPool, connection_id: int) -> None:
+        """Takes a connection out of use; it is closed a little later."""
+        pool.retire(connection_id, now)
+        self.counts["office connections retired"] += 1
+        self._trace_connection("connection retired", pool, connection_id)
+
+    def office_disconnected(self, now: float, connection_id: int, reason: str) -> None:
+        """A connection ended: the attempts open on it end as RESET."""
         pool = self.pool_by_connection.pop(connection_id, None)
         if pool is None:
             return
+        self.counts["office connections ended"] += 1
+        self._trace_connection("connection ended", pool, connection_id, reason)
         connection = pool.connections.pop(connection_id, None)
         pool.dialling.discard(connection_id)
         for attempt in list(connection.attempts.values()) if connection is not None else ():
@@ -828,8 +838,8 @@
                 self._dial(now, pool)
             self._check_office_lost(now, pool)
             for connection_id in pool.surplus_connections(now):
-                self.office_disconnected(now, connection_id)
-                self.transport.close(connection_id, "idle")
+                self.office_disconnected(now, connection_id, "idle or retired")
+                self.transport.close(connection_id, "idle or retired")
             self._serve_waiting(now, pool)
         for client in self.admission.silent_clients(now, self.clients.values()):
             self.counts["clients mute"] += 1
@@ -908,6 +918,12 @@
                 **{f"f_{name}": value for name, value in message.meta.items()},
             )
 
+    def _trace_connection(
+        self, event: str, pool: ConnectionPool, connection_id: int, reason: str = ""
+    ) -> None:
+        if self.trace is not None:
+            self.trace(event, office=frames.office_name(pool.office_id), conn=connection_id, reason=reason)
+
     def log_event(self, event: str, **fields: Any) -> None:
         """Writes one log line if the server has a log."""
         if self.log is not None:
--- a/ospreybridge/fronts/access.py
+++ b/ospreybridge/fronts/access.py
@@ -111,7 +111,7 @@
             return
         self.dialling.discard(connection_id)
         stream = self.streams[connection_id] = tcp.Stream(self.loop, sock, MAX_UNSENT_BYTES)
-        stream.on_close = lambda reason: self._office_closed(connection_id)
+        stream.on_close = lambda reason: self._office_closed(connection_id, reason)
         self.server.office_connected(self.loop.now, connection_id)
         yield from self._read_office(connection_id, stream)
 
@@ -127,9 +127,9 @@
                 return
         stream.close("closed by the office")
 
-    def _office_closed(self, connection_id: int) -> None:
+    def _office_closed(self, connection_id: int, reason: str) -> None:
         self.streams.pop(connection_id, None)
-        self.server.office_disconnected(self.loop.now, connection_id)
+        self.server.office_disconnected(self.loop.now, connection_id, reason)
 
     # -- Transport
 
--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -107,6 +107,7 @@
         self.closed: dict[int, str] = {}
         self.datagrams: list[tuple[Address, bytes]] = []
         self.log_events: list[str] = []
+        self.trace_events: list[tuple[str, dict[str, Any]]] = []
         self.server = PlatformServer(
             platform_config(**more),
             self.timers,
@@ -114,6 +115,7 @@
             self.now,
             0.0,
             lambda event, **_: self.log_events.append(event),
+            lambda event, **fields: self.trace_events.append((event, fields)),
         )
         self.last_uid = 0
         self.open_attempts: dict[str, int] = {}  # uid -> connection
@@ -148,7 +150,7 @@
 
     def break_office_connection(self, connection_id: int) -> None:
         self._drop_attempts(connection_id)
-        self.server.office_disconnected(self.now, connection_id)
+        self.server.office_disconnected(self.now, connection_id, "closed by the office")
 
     def send_datagram(self, destination: Address, body: bytes) -> None:
         self.datagrams.append((destination, body))
--- a/tests/test_access.py
+++ b/tests/test_access.py
@@ -458,6 +458,24 @@
     assert connection in rig.closed
 
 
+def test_trace_tells_when_a_connection_to_an_office_opened_was_retired_and_ended() -> None:
+    rig = Rig()
+    uid = rig.launch(rig.connect_client())
+    connection = rig.set_up_connection(uid)
+    rig.advance(2_000.0)  # unanswered
+    life = [
+        (event, fields["office"], fields["reason"])
+        for event, fields in rig.trace_events
+        if event.startswith("connection ") and fields["conn"] == connection
+    ]
+    office = "s-0000000b"
+    assert life == [
+        ("connection opened", office, ""),
+        ("connection retired", office, ""),
+        ("connection ended", office, "idle or retired"),
+    ]
+
+
 def test_load_update_on_several_connections_counts_once() -> None:
     rig = Rig()
     rig.advance(100.0)
