Open a connection in place of one that was lost, so that releases on it come again

Cause: an office sends a release on the connection of its set-up and once more on the next that opens. On a connection whose answer stopped short nothing arrives any more. ConnectionPool.needs_connection opened one only to keep two idle or after a second of silence of the whole office, so with enough idle ones and load reports on them none was opened when the connection was retired (time-out of the set-up, 500 ms) or closed (1 s later).

Change: access/recovery.py records that a connection was retired or has ended; while calls stand at the office, one is opened for it however many are idle. It is dialled 100 ms after an end, as the office may accept it before it learns of the end and go on losing releases on the old one. Retired connections are closed after 500 ms instead of 1 s. The same covers connections that are reset or end while idle, and those closed after what can't be read.

--- a/ospreybridge/access/pool.py
+++ b/ospreybridge/access/pool.py
@@ -13,10 +13,12 @@
 from random import Random
 
 from ospreybridge.access.calls import Attempt
+from ospreybridge.access.recovery import ReleaseRecovery
 
 SPARE_CONNECTIONS = 2  # kept idle per office: one for its load updates, one for the next set-up
 IDLE_TIMEOUT_MS = 8_000.0  # idle connections beyond the spare ones are closed then
-RETIRED_LINGER_MS = 1_000.0  # a retired connection is still read for this time
+RETIRED_LINGER_MS = 500.0  # a retired connection stays open for this time; releases may be lost on it
+CLOSE_PROPAGATION_MS = 100.0  # within which an office learns that a connection was closed
 FIRST_RETRY_DELAY_MS = 60.0  # between dials; doubled after each failure
 MAX_RETRY_DELAY_MS = 1_000.0  # an office that is back must be noticed within a second
 LIVENESS_DIAL_AFTER_MS = 1_000.0  # silence after which a new connection tests whether the office is alive
@@ -42,7 +44,7 @@
     def __init__(self, office_id: int, now: float, random: Random) -> None:
         self.office_id, self.random = office_id, random
         self.connections: dict[int, OfficeConnection] = {}
-        self.dialling: set[int] = set()
+        self.dialling: dict[int, float] = {}  # start of the dial by connection number
         self.waiting: deque[Attempt] = deque()  # attempts without a connection yet, oldest first
         self.last_received = now  # any message, or a new connection
         self.failures = 0
@@ -50,6 +52,7 @@
         self.reporter_id, self.reported_at = 0, now  # the connection whose load updates are used
         self.last_load: str = ""  # the trunk group's state as last reported
         self.dial_refused = False  # the last dial was refused: no process is listening there
+        self.recovery = ReleaseRecovery()
 
     def size(self) -> int:
         """Connections that are open or being opened."""
@@ -86,25 +89,40 @@
         """Takes a connection out of use after an unanswered set-up or when its office was unreachable.
 
         A machine that vanishes leaves connections open that never break, and each set-up sent on one is lost.
-        The cost: a slow office has a new connection opened for each time-out.
+        So are the releases that the office sends on it. The cost: a slow office has new connections opened
+        for each time-out.
         """
         connection = self.connections.get(connection_id)
         if connection is not None and not connection.retired:
             connection.retired, connection.idle_since = True, now
+            self.recovery.request(now)
+
+    def connection_ended(self, now: float, connection_id: int) -> OfficeConnection | None:
+        """Removes a connection, or a dial, that is over; returns the connection if it was open."""
+        self.dialling.pop(connection_id, None)
+        connection = self.connections.pop(connection_id, None)
+        if connection is not None:
+            # A connection opened before the office learns of the end would not bring what is lost until then.
+            self.recovery.request(now + CLOSE_PROPAGATION_MS)
+        return connection
+
+    def idle_connection_closed(self, connection_id: int) -> None:
+        """Removes a connection that was closed because it was idle."""
+        self.connections.pop(connection_id, None)
 
     def needs_connection(self, now: float, may_dial: bool, ready: bool, has_calls: bool) -> bool:
         """Whether to open a connection although no attempt is waiting for one.
 
         Spare ones are for offices that may get new calls (`ready`). A silent office gets one as a liveness
         test: only a new connection tells a machine that vanished from one that has nothing to send, and it
-        costs the office's processor nothing.
+        costs the office's processor nothing. With established calls (`has_calls`) one is opened after another
+        was lost.
         """
         if now < self.next_dial_at or self.dialling or not (ready or has_calls):
             return False
-        spare = (
-            len(self.idle_connections()) < SPARE_CONNECTIONS and may_dial and (ready or not self.connections)
-        )
-        return spare or now - self.last_received >= LIVENESS_DIAL_AFTER_MS
+        spare = len(self.idle_connections()) < SPARE_CONNECTIONS and (ready or not self.connections)
+        recovery = has_calls and self.recovery.is_due(now)
+        return (may_dial and (spare or recovery)) or now - self.last_received >= LIVENESS_DIAL_AFTER_MS
 
     def update_load(self, now: float, connection: OfficeConnection, load: str) -> bool:
         """Stores a trunk group's state if it is new; returns whether it is.
@@ -124,22 +142,24 @@
         self.last_load = load
         return True
 
-    def dial_started(self, now: float) -> None:
-        """Delays the next dial; the server adds the connection's number to `dialling`."""
+    def dial_started(self, now: float, connection_id: int) -> None:
+        """Records a dial and delays the next one."""
+        self.dialling[connection_id] = now
         self.next_dial_at = now + FIRST_RETRY_DELAY_MS
 
     def dial_succeeded(self, now: float, connection_id: int) -> OfficeConnection:
         """Adds the new connection; after failed dials the older ones are retired, as they may be dead."""
-        self.dialling.discard(connection_id)
+        started_at = self.dialling.pop(connection_id, now)
         for older_id in self.connections if self.failures else ():
             self.retire(older_id, now)
+        self.recovery.connected(started_at)
         self.last_received, self.failures, self.dial_refused = now, 0, False
         connection = self.connections[connection_id] = OfficeConnection(connection_id, now)
         return connection
 
     def dial_failed(self, now: float, connection_id: int, refused: bool) -> None:
         """Schedules the next dial with exponential, jittered delay."""
-        self.dialling.discard(connection_id)
+        self.dialling.pop(connection_id, None)
         self.dial_refused = refused
         delay = min(MAX_RETRY_DELAY_MS, FIRST_RETRY_DELAY_MS * 2.0**self.failures)
         self.failures = min(self.failures + 1, 16)
@@ -156,18 +176,20 @@
         return self.failures > 1 and now - self.last_received >= LOST_AFTER_MS
 
     def surplus_connections(self, now: float) -> list[int]:
-        """The numbers of idle and retired connections to close."""
+        """The numbers of the connections to close because they were idle for too long."""
         idle = sorted(self.idle_connections(), key=lambda connection: -connection.idle_since)
-        old = [
+        return [
             connection.id
             for connection in idle[SPARE_CONNECTIONS:]
             if now - connection.idle_since >= IDLE_TIMEOUT_MS
         ]
-        retired = [
-            connection
+
+    def expired_connections(self, now: float) -> list[int]:
+        """The numbers of the retired connections to close."""
+        return [
+            connection.id
             for connection in self.connections.values()
-            if connection.retired and not connection.attempts
-        ]
-        return old + [
-            connection.id for connection in retired if now - connection.idle_since >= RETIRED_LINGER_MS
+            if connection.retired
+            and not connection.attempts
+            and now - connection.idle_since >= RETIRED_LINGER_MS
         ]
--- a/ospreybridge/access/server.py
+++ b/ospreybridge/access/server.py
@@ -550,8 +550,7 @@
             return
         self.last_connection_id += 1
         connection_id = self.last_connection_id
-        pool.dialling.add(connection_id)
-        pool.dial_started(now)
+        pool.dial_started(now, connection_id)
         self.pool_by_connection[connection_id] = pool
         self.transport.dial(connection_id, office.address)
 
@@ -626,8 +625,7 @@
             return
         self.counts["office connections ended"] += 1
         self._trace_connection("connection ended", pool, connection_id, reason)
-        connection = pool.connections.pop(connection_id, None)
-        pool.dialling.discard(connection_id)
+        connection = pool.connection_ended(now, connection_id)
         for attempt in list(connection.attempts.values()) if connection is not None else ():
             self._end_attempt(now, attempt, interface.Result.RESET)
         self._process_events(now)
@@ -837,9 +835,7 @@
             ):
                 self._dial(now, pool)
             self._check_office_lost(now, pool)
-            for connection_id in pool.surplus_connections(now):
-                self.office_disconnected(now, connection_id, "idle or retired")
-                self.transport.close(connection_id, "idle or retired")
+            self._close_unused_connections(now, pool)
             self._serve_waiting(now, pool)
         for client in self.admission.silent_clients(now, self.clients.values()):
             self.counts["clients mute"] += 1
@@ -849,6 +845,16 @@
             self._send_release(now, uid, release)
         self._process_events(now)
 
+    def _close_unused_connections(self, now: float, pool: ConnectionPool) -> None:
+        """Closes the retired connections whose time is over, and the idle ones beyond the spare ones."""
+        for connection_id in pool.expired_connections(now):
+            self.office_disconnected(now, connection_id, "retired")
+            self.transport.close(connection_id, "retired")
+        for connection_id in pool.surplus_connections(now):
+            pool.idle_connection_closed(connection_id)
+            self.office_disconnected(now, connection_id, "idle")
+            self.transport.close(connection_id, "idle")
+
     def stop(self, now: float) -> None:
         """Begins the shutdown (SIGTERM): calls are served for a while, later ones refused, all answered."""
         if self.stopping_since is None:
--- /dev/null
+++ b/tests/test_lost_releases.py
@@ -0,0 +1,102 @@
+"""Releases that an office sent on a connection of no use must reach their callers in the platform's time."""
+
+from __future__ import annotations
+
+import pytest
+
+from ospreybridge.signalling import causes, jsonl
+from tests.platform_rig import Rig
+
+OFFICE = 11
+TOLD_WITHIN_MS = 1_050.0  # a release must be passed on within 1 s; each time limit grows by 50 ms
+STEP_MS = 10.0
+LOAD_INTERVAL_MS = 200.0  # an office with traffic is never silent for long
+
+
+class ReleasingOffice:
+    """The office's side of releases: each is sent on the set-up's connection and on the next that opens."""
+
+    def __init__(self, rig: Rig) -> None:
+        self.rig = rig
+        self.useless: set[int] = set()  # open at both ends, but nothing sent on it by the office arrives
+        self.unsent: list[str] = []  # releases that go out on the next connection that opens
+        self.known = self.open_connections()
+        self.next_load_at = rig.now
+
+    def open_connections(self) -> set[int]:
+        return set(self.rig.server.pools[OFFICE].connections)
+
+    def release(self, uid: str, connection_id: int) -> None:
+        """Sends a release on the connection of the set-up, or on another one if that is closed."""
+        self.unsent.append(uid)
+        if connection_id not in self.open_connections():
+            connection_id = min(self.open_connections())
+        self._send_release(uid, connection_id)
+
+    def _send_release(self, uid: str, connection_id: int) -> None:
+        if connection_id not in self.useless:
+            self.rig.office_sends(connection_id, "stop", uid, causes.NORMAL_CLEARING)
+
+    def pass_time(self, ms: float) -> None:
+        end = self.rig.now + ms
+        while self.rig.now < end:
+            self.rig.advance(min(STEP_MS, end - self.rig.now))
+            for connection_id in sorted(self.open_connections() - self.known):
+                for uid in self.unsent:
+                    self._send_release(uid, connection_id)
+                self.unsent.clear()
+            self.known = self.open_connections()
+            if self.rig.now >= self.next_load_at:
+                self.next_load_at = self.rig.now + LOAD_INTERVAL_MS
+                for connection_id in self.open_connections() - self.useless:
+                    self.rig.office_sends(connection_id, "usage", "", load="free:9;size:20")
+
+
+class BusyMoment:
+    """A call server with idle connections to the office after a burst; a call stands on one of them."""
+
+    def __init__(self) -> None:
+        self.rig = Rig()
+        self.client = self.rig.connect_client()
+        burst = [self.rig.launch(self.client) for _ in range(6)]
+        self.rig.accept_dials()
+        for uid in burst:
+            self.rig.office_sends(self.rig.set_up_connection(uid), "running", uid, body="an answer")
+        self.office = ReleasingOffice(self.rig)
+        self.office.pass_time(100.0)
+        self.uid, self.connection = self.rig.establish(self.client)
+        self.office.pass_time(100.0)
+
+    def set_up_on_same_connection(self) -> str:
+        uid = self.rig.launch(self.client)
+        assert self.rig.set_up_connection(uid) == self.connection  # the most recently used one
+        return uid
+
+    def assert_caller_told_in_time(self) -> None:
+        self.office.pass_time(TOLD_WITHIN_MS)
+        told = self.rig.messages_of(self.uid, self.client, jsonl.STOP)
+        assert {message.reason for message in told} == {causes.NORMAL_CLEARING}
+
+
+@pytest.mark.parametrize("released_after_ms", range(0, 2_000, 100))
+def test_release_lost_on_a_connection_that_answers_no_more_is_told_in_time(released_after_ms: int) -> None:
+    """Guards against releases told after 8 to 10 s: they wait at the office until a connection opens."""
+    moment = BusyMoment()
+    moment.set_up_on_same_connection()  # its answer stops short: nothing more arrives on the connection
+    moment.office.useless.add(moment.connection)
+    moment.office.pass_time(released_after_ms)
+    moment.office.release(moment.uid, moment.connection)
+    moment.assert_caller_told_in_time()
+
+
+@pytest.mark.parametrize("end", ["reset", "unreadable"])
+def test_release_lost_with_a_connection_that_ended_is_told_in_time(end: str) -> None:
+    """Guards against a release that is lost with its connection, while idle ones need no replacement."""
+    moment = BusyMoment()
+    moment.office.useless.add(moment.connection)
+    moment.office.release(moment.uid, moment.connection)
+    if end == "reset":
+        moment.rig.break_office_connection(moment.connection)
+    else:
+        moment.rig.server.office_line(moment.rig.now, moment.connection, b'{"kind":"runn\xff')
+    moment.assert_caller_told_in_time()
