Notice a connection that is of no use without a time-out of a set-up on it

Cause: that a connection of no use was noticed by the time-out of a set-up alone, and silence only for the whole office.

Change: each connection records since when nothing was received on it although a message is due (after a set-up, a test or the giving up of a set-up). After 500 ms it is retired if no set-up is open on it; else another one is opened for the releases, again each 500 ms. Any message on it, such as a load report, ends the wait, so that a slow office costs no connections.

--- a/ospreybridge/access/pool.py
+++ b/ospreybridge/access/pool.py
@@ -22,6 +22,7 @@
 FIRST_RETRY_DELAY_MS = 60.0  # between dials; doubled after each failure
 MAX_RETRY_DELAY_MS = 1_000.0  # an office that is back must be noticed within a second
 LIVENESS_DIAL_AFTER_MS = 1_000.0  # silence after which a new connection tests whether the office is alive
+UNRESPONSIVE_AFTER_MS = 500.0  # silence of one connection on which a message is due
 REPORTER_TIMEOUT_MS = 300.0  # without a load update from the reporting connection, another one takes over
 REFUSAL_CONFIRMED_AFTER_MS = 1_500.0  # silence on open connections after which a refused dial means lost
 LOST_AFTER_MS = 4_500.0  # silence and failed dials after which established calls count as ended
@@ -30,12 +31,26 @@
 class OfficeConnection:
     """An open connection to an office."""
 
-    __slots__ = ("attempts", "id", "idle_since", "retired")
+    __slots__ = ("attempts", "id", "idle_since", "retired", "waiting_since")
 
     def __init__(self, connection_id: int, now: float) -> None:
         self.id, self.idle_since = connection_id, now
         self.retired = False  # takes no new set-ups; closed once what is still in transit can have arrived
         self.attempts: dict[str, Attempt] = {}  # sent on it and unanswered, by uid
+        self.waiting_since: float | None = None  # nothing received since then although a message is due
+
+    def message_due(self, now: float) -> None:
+        """Something was sent on the connection that the office reacts to."""
+        if self.waiting_since is None:
+            self.waiting_since = now
+
+    def message_handled(self, now: float) -> None:
+        """Any message received shows that the connection is of use."""
+        self.waiting_since = now if self.attempts else None
+
+    def is_unresponsive(self, now: float) -> bool:
+        """Whether nothing was received for too long although a message is due."""
+        return self.waiting_since is not None and now - self.waiting_since >= UNRESPONSIVE_AFTER_MS
 
 
 class ConnectionPool:
@@ -97,6 +112,28 @@
             connection.retired, connection.idle_since = True, now
             self.recovery.request(now)
 
+    def cancel_sent(self, now: float, connection_id: int) -> None:
+        """A set-up was cancelled: its office is due to confirm that, or to report its load."""
+        connection = self.connections.get(connection_id)
+        if connection is not None:
+            connection.waiting_since = now
+
+    def check_responses(self, now: float) -> list[int]:
+        """The numbers of the unresponsive connections to retire, as no set-up on them will time out.
+
+        Those with an open set-up stay: its answer may come late. Releases may be lost on them meanwhile.
+        """
+        unresponsive = [
+            connection
+            for connection in self.connections.values()
+            if not connection.retired and connection.is_unresponsive(now)
+        ]
+        for connection in unresponsive:
+            if connection.attempts:
+                connection.waiting_since = now
+                self.recovery.request(now)
+        return [connection.id for connection in unresponsive if not connection.attempts]
+
     def connection_ended(self, now: float, connection_id: int) -> OfficeConnection | None:
         """Removes a connection, or a dial, that is over; returns the connection if it was open."""
         self.dialling.pop(connection_id, None)
--- a/ospreybridge/access/server.py
+++ b/ospreybridge/access/server.py
@@ -448,6 +448,7 @@
             return
         attempt.connection_id = connection.id
         connection.attempts[call.uid] = attempt
+        connection.message_due(now)
         time_left = max(1, int(attempt.deadline - now))
         meta: dict[str, jsonl.Value] = {"class": call.class_name, "key": call.key, "left": str(time_left)}
         self._send(connection.id, Message(jsonl.LAUNCH, call.uid, meta, body=call.body))
@@ -479,6 +480,7 @@
                 attempt.connection_id, Message(jsonl.STOP, attempt.call.uid, {}, causes.NORMAL_CLEARING)
             )
             self._end_attempt(now, attempt, interface.Result.CANCELLED)
+            self.pools[attempt.office_id].cancel_sent(now, attempt.connection_id)
 
     def _end_attempt(
         self,
@@ -605,6 +607,7 @@
         pool.last_received = now
         try:
             self._handle_office_message(now, pool, connection, jsonl.decode(line))
+            connection.message_handled(now)
         except MessageError as error:
             self.counts["offices unreadable"] += 1
             self.log_event("office unreadable", office=frames.office_name(pool.office_id), reason=str(error))
@@ -751,6 +754,7 @@
         uid = f"{self.random.getrandbits(64):016x}"
         self.open_probes[uid] = (office_id, now)
         self.timers.schedule(now + self.settings.limits.dial_timeout, self._probe_timed_out, uid)
+        connection.message_due(now)
         self._send(connection.id, Message(jsonl.CHECK, uid))
 
     def _probe_timed_out(self, now: float, uid: str) -> None:
@@ -835,6 +839,8 @@
             ):
                 self._dial(now, pool)
             self._check_office_lost(now, pool)
+            for connection_id in pool.check_responses(now):
+                self._retire_connection(now, pool, connection_id)
             self._close_unused_connections(now, pool)
             self._serve_waiting(now, pool)
         for client in self.admission.silent_clients(now, self.clients.values()):
--- a/tests/test_lost_releases.py
+++ b/tests/test_lost_releases.py
@@ -5,6 +5,7 @@
 import pytest
 
 from ospreybridge.signalling import causes, jsonl
+from ospreybridge.signalling.jsonl import Message
 from tests.platform_rig import Rig
 
 OFFICE = 11
@@ -67,8 +68,8 @@
         self.uid, self.connection = self.rig.establish(self.client)
         self.office.pass_time(100.0)
 
-    def set_up_on_same_connection(self) -> str:
-        uid = self.rig.launch(self.client)
+    def set_up_on_same_connection(self, words: str = "", left: str = "1500") -> str:
+        uid = self.rig.launch(self.client, words=words, left=left)
         assert self.rig.set_up_connection(uid) == self.connection  # the most recently used one
         return uid
 
@@ -89,6 +90,33 @@
     moment.assert_caller_told_in_time()
 
 
+@pytest.mark.parametrize("released_after_ms", [0, 300, 600, 900, 1_500, 2_400])
+@pytest.mark.parametrize("wait", ["cancelled", "long"])
+def test_release_lost_on_a_connection_that_is_silent_while_it_owes_a_message_is_told_in_time(
+    wait: str, released_after_ms: int
+) -> None:
+    """Guards against releases lost where no time-out of a set-up tells that its connection is of no use."""
+    moment = BusyMoment()
+    if wait == "cancelled":
+        uid = moment.set_up_on_same_connection()
+        moment.rig.client_sends(moment.client, Message(jsonl.STOP, uid, {}, causes.NORMAL_CLEARING))
+    else:  # a transit call may wait for its whole deadline
+        moment.set_up_on_same_connection(words=";transit:1", left="3000")
+    moment.office.useless.add(moment.connection)
+    moment.office.pass_time(released_after_ms)
+    moment.office.release(moment.uid, moment.connection)
+    moment.assert_caller_told_in_time()
+
+
+def test_connection_that_carries_load_reports_is_not_replaced_while_a_set_up_is_unanswered() -> None:
+    """A slow office is not a dead connection: it costs no further connections."""
+    moment = BusyMoment()
+    moment.set_up_on_same_connection(words=";transit:1", left="3000")
+    before = moment.office.open_connections()
+    moment.office.pass_time(2_500.0)
+    assert moment.office.open_connections() == before
+
+
 @pytest.mark.parametrize("end", ["reset", "unreadable"])
 def test_release_lost_with_a_connection_that_ended_is_told_in_time(end: str) -> None:
     """Guards against a release that is lost with its connection, while idle ones need no replacement."""
