Read an idle connection on until its office has closed it

Cause: an idle connection beyond the spare ones was closed at once; what was on its way was thrown away with it.

Change: the server ends its sending direction (shutdown) and reads on until the office closes, which it does when it has seen the end. Such an end has lost nothing and needs no replacement. If the office hasn't closed after 1 s, the server does, and opens another connection as after any loss. net/tcp.py has `finish` for it, which the drained close of clients' connections shares.

--- a/ospreybridge/access/pool.py
+++ b/ospreybridge/access/pool.py
@@ -18,6 +18,7 @@
 SPARE_CONNECTIONS = 2  # kept idle per office: one for its load updates, one for the next set-up
 IDLE_TIMEOUT_MS = 8_000.0  # idle connections beyond the spare ones are closed then
 RETIRED_LINGER_MS = 500.0  # a retired connection stays open for this time; releases may be lost on it
+CLOSE_TIMEOUT_MS = 1_000.0  # for the office to close a connection on which nothing more is sent
 CLOSE_PROPAGATION_MS = 100.0  # within which an office learns that a connection was closed
 FIRST_RETRY_DELAY_MS = 60.0  # between dials; doubled after each failure
 MAX_RETRY_DELAY_MS = 1_000.0  # an office that is back must be noticed within a second
@@ -31,11 +32,12 @@
 class OfficeConnection:
     """An open connection to an office."""
 
-    __slots__ = ("attempts", "id", "idle_since", "retired", "waiting_since")
+    __slots__ = ("attempts", "finished", "id", "idle_since", "retired", "waiting_since")
 
     def __init__(self, connection_id: int, now: float) -> None:
         self.id, self.idle_since = connection_id, now
         self.retired = False  # takes no new set-ups; closed once what is still in transit can have arrived
+        self.finished = False  # nothing more is sent on it; it is read until the office closes it
         self.attempts: dict[str, Attempt] = {}  # sent on it and unanswered, by uid
         self.waiting_since: float | None = None  # nothing received since then although a message is due
 
@@ -48,6 +50,10 @@
         """Any message received shows that the connection is of use."""
         self.waiting_since = now if self.attempts else None
 
+    def closing_time(self) -> float:
+        """Milliseconds from when it was taken out of use until it is closed at the latest."""
+        return CLOSE_TIMEOUT_MS if self.finished else RETIRED_LINGER_MS
+
     def is_unresponsive(self, now: float) -> bool:
         """Whether nothing was received for too long although a message is due."""
         return self.waiting_since is not None and now - self.waiting_since >= UNRESPONSIVE_AFTER_MS
@@ -83,7 +89,8 @@
 
     def any_connection(self) -> OfficeConnection | None:
         """A connection for messages that belong to no set-up; a retired one only if there is no other."""
-        return min(self.connections.values(), key=lambda connection: connection.retired, default=None)
+        usable = [connection for connection in self.connections.values() if not connection.finished]
+        return min(usable, key=lambda connection: connection.retired, default=None)
 
     def choose_connection(self, may_dial: bool) -> tuple[OfficeConnection | None, bool]:
         """The connection for the oldest waiting attempt, and whether to open one for it.
@@ -135,18 +142,17 @@
         return [connection.id for connection in unresponsive if not connection.attempts]
 
     def connection_ended(self, now: float, connection_id: int) -> OfficeConnection | None:
-        """Removes a connection, or a dial, that is over; returns the connection if it was open."""
+        """Removes a connection, or a dial, that is over; returns the connection if it was open.
+
+        One that was finished and then closed by its office has lost nothing.
+        """
         self.dialling.pop(connection_id, None)
         connection = self.connections.pop(connection_id, None)
-        if connection is not None:
+        if connection is not None and not connection.finished:
             # A connection opened before the office learns of the end would not bring what is lost until then.
             self.recovery.request(now + CLOSE_PROPAGATION_MS)
         return connection
 
-    def idle_connection_closed(self, connection_id: int) -> None:
-        """Removes a connection that was closed because it was idle."""
-        self.connections.pop(connection_id, None)
-
     def needs_connection(self, now: float, may_dial: bool, ready: bool, has_calls: bool) -> bool:
         """Whether to open a connection although no attempt is waiting for one.
 
@@ -212,21 +218,31 @@
             return not self.connections or now - self.last_received >= REFUSAL_CONFIRMED_AFTER_MS
         return self.failures > 1 and now - self.last_received >= LOST_AFTER_MS
 
-    def surplus_connections(self, now: float) -> list[int]:
-        """The numbers of the connections to close because they were idle for too long."""
+    def finish_surplus_connections(self, now: float) -> list[int]:
+        """Takes the connections that were idle for too long out of use.
+
+        The server ends its sending direction of them and reads on, as a release may be on its way: the office
+        closes them when it has seen the end.
+        """
         idle = sorted(self.idle_connections(), key=lambda connection: -connection.idle_since)
-        return [
-            connection.id
+        surplus = [
+            connection
             for connection in idle[SPARE_CONNECTIONS:]
             if now - connection.idle_since >= IDLE_TIMEOUT_MS
         ]
+        for connection in surplus:
+            connection.retired, connection.finished, connection.idle_since = True, True, now
+        return [connection.id for connection in surplus]
 
-    def expired_connections(self, now: float) -> list[int]:
-        """The numbers of the retired connections to close."""
-        return [
-            connection.id
+    def expire_connections(self, now: float) -> list[int]:
+        """The numbers of the connections out of use whose time is over, which the server closes."""
+        expired = [
+            connection
             for connection in self.connections.values()
             if connection.retired
             and not connection.attempts
-            and now - connection.idle_since >= RETIRED_LINGER_MS
+            and now - connection.idle_since >= connection.closing_time()
         ]
+        for connection in expired:
+            connection.finished = False  # if it was, its office has not closed it: releases may be lost
+        return [connection.id for connection in expired]
--- a/ospreybridge/access/server.py
+++ b/ospreybridge/access/server.py
@@ -58,6 +58,7 @@
 
     def dial(self, connection_id: int, address: Address) -> None: ...
     def send(self, connection_id: int, data: bytes) -> None: ...
+    def finish(self, connection_id: int) -> None: ...
     def close(self, connection_id: int, reason: str) -> None: ...
     def send_datagram(self, destination: Address, body: bytes) -> None: ...
 
@@ -852,14 +853,13 @@
         self._process_events(now)
 
     def _close_unused_connections(self, now: float, pool: ConnectionPool) -> None:
-        """Closes the retired connections whose time is over, and the idle ones beyond the spare ones."""
-        for connection_id in pool.expired_connections(now):
-            self.office_disconnected(now, connection_id, "retired")
-            self.transport.close(connection_id, "retired")
-        for connection_id in pool.surplus_connections(now):
-            pool.idle_connection_closed(connection_id)
-            self.office_disconnected(now, connection_id, "idle")
-            self.transport.close(connection_id, "idle")
+        """Closes the connections out of use whose time is over; ends the idle ones beyond the spare ones."""
+        for connection_id in pool.expire_connections(now):
+            self.office_disconnected(now, connection_id, "out of use")
+            self.transport.close(connection_id, "out of use")
+        for connection_id in pool.finish_surplus_connections(now):
+            self._trace_connection("connection finished", pool, connection_id, "idle")
+            self.transport.finish(connection_id)
 
     def stop(self, now: float) -> None:
         """Begins the shutdown (SIGTERM): calls are served for a while, later ones refused, all answered."""
--- a/ospreybridge/fronts/access.py
+++ b/ospreybridge/fronts/access.py
@@ -139,6 +139,12 @@
         if stream is not None:
             stream.write(data)
 
+    def finish(self, connection_id: int) -> None:
+        """Ends the sending direction of a connection; what the peer sends is read until it closes."""
+        stream = self.streams.get(connection_id)
+        if stream is not None:
+            stream.finish()
+
     def close(self, connection_id: int, reason: str) -> None:
         """Closes a connection or abandons its dial; a client's is first read for LINGER_MS."""
         stream = self.streams.get(connection_id)
@@ -163,9 +169,7 @@
         timer = self.loop.timers.schedule(self.loop.now + LINGER_MS, lambda now: stream.close(reason))
         drained = 0
         try:
-            with contextlib.suppress(OSError):
-                if not stream.unsent:
-                    stream.sock.shutdown(socket.SHUT_WR)
+            stream.finish()
             while drained < MAX_DRAINED_BYTES and (data := (yield from stream.read())):
                 drained += len(data)
             stream.close(reason)
--- a/ospreybridge/net/tcp.py
+++ b/ospreybridge/net/tcp.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import errno
 import os
 import socket
@@ -25,7 +26,7 @@
         self.loop, self.sock, self.fd, self.max_unsent_bytes = loop, sock, sock.fileno(), max_unsent_bytes
         self.unsent: list[bytes] = []
         self.unsent_bytes = 0
-        self.flush_scheduled = self.blocked = self.closed = False
+        self.flush_scheduled = self.blocked = self.finished = self.closed = False
         self.has_written = False  # whether anything was ever written
         self.on_close: Callable[[str], None] | None = None
 
@@ -44,8 +45,8 @@
         return b""
 
     def write(self, data: bytes) -> None:
-        """Queues data for the next flush; ignored once the stream is closed."""
-        if self.closed:
+        """Queues data for the next flush; ignored once the stream is finished or closed."""
+        if self.closed or self.finished:
             return
         self.has_written = True
         self.unsent.append(data)
@@ -85,6 +86,17 @@
         self.blocked = False
         self.flush()
 
+    def finish(self) -> None:
+        """Sends what is queued and ends the sending direction; the peer's data can still be read.
+
+        The direction stays open if the socket doesn't accept all that is queued.
+        """
+        self.flush()
+        self.finished = True
+        if not self.closed and not self.unsent:
+            with contextlib.suppress(OSError):  # the peer may be gone already
+                self.sock.shutdown(socket.SHUT_WR)
+
     def close(self, reason: str) -> None:
         """Closes the connection, discards unsent data and reports the reason to `on_close`."""
         if self.closed:
--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -105,6 +105,8 @@
         self.sent_messages: list[tuple[int, Message]] = []  # connection, message
         self.open_dials: dict[int, Address] = {}
         self.closed: dict[int, str] = {}
+        self.finished: list[int] = []  # connections whose sending direction was ended
+        self.offices_close_finished = True  # as soon as they see the end
         self.datagrams: list[tuple[Address, bytes]] = []
         self.log_events: list[str] = []
         self.trace_events: list[tuple[str, dict[str, Any]]] = []
@@ -142,6 +144,9 @@
         self.closed[connection_id] = reason
         self._drop_attempts(connection_id)
 
+    def finish(self, connection_id: int) -> None:
+        self.finished.append(connection_id)
+
     def _drop_attempts(self, connection_id: int) -> None:
         """A closed connection cancels the set-ups open on it."""
         self.open_attempts = {
@@ -152,6 +157,12 @@
         self._drop_attempts(connection_id)
         self.server.office_disconnected(self.now, connection_id, "closed by the office")
 
+    def close_finished(self) -> None:
+        """The offices close the connections on which the server sends nothing more."""
+        for connection_id in self.finished:
+            self.server.office_disconnected(self.now, connection_id, "closed by the office")
+        self.finished.clear()
+
     def send_datagram(self, destination: Address, body: bytes) -> None:
         self.datagrams.append((destination, body))
 
@@ -176,6 +187,8 @@
             self.timers.run_due(self.now)
             if connect:
                 self.accept_dials()
+            if self.offices_close_finished:
+                self.close_finished()
         self.now = end
 
     def office_connection(self, office: int) -> int:
--- a/tests/test_access_sockets.py
+++ b/tests/test_access_sockets.py
@@ -15,7 +15,8 @@
 import pytest
 
 from ospreybridge.fronts.access import AccessFront
-from ospreybridge.net.loop import EventLoop
+from ospreybridge.net import tcp
+from ospreybridge.net.loop import EventLoop, Task
 from ospreybridge.settings.platform import parse
 from ospreybridge.signalling import frames
 from ospreybridge.standins.platform import CallerStandIn, JournalService, OfficeStandIn
@@ -111,6 +112,29 @@
         sock.close()
 
 
+def test_finished_stream_sends_what_was_queued_and_goes_on_reading(world: World) -> None:
+    """Guards against data of the peer lost because this side has nothing more to send."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        stream = tcp.Stream(world.loop, socket.create_connection(listener.getsockname()))
+        far = listener.accept()[0]
+    received: list[bytes] = []
+
+    def read() -> Task:
+        while data := (yield from stream.read()):
+            received.append(data)
+        stream.close("closed by the peer")
+
+    world.loop.spawn(read())
+    stream.write(b"queued")
+    stream.finish()
+    stream.write(b"too late")
+    assert far.recv(64) + far.recv(64) == b"queued"  # the second one returns the end of the stream
+    far.send(b"on its way")
+    far.close()
+    world.until(lambda: stream.closed)
+    assert received == [b"on its way"]
+
+
 def test_refusal_arrives_although_its_connection_is_closed_with_octets_unread(world: World) -> None:
     front = world.start_server()
     for _ in range(20):
--- a/tests/test_lost_releases.py
+++ b/tests/test_lost_releases.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from ospreybridge.access.pool import CLOSE_TIMEOUT_MS, IDLE_TIMEOUT_MS, SPARE_CONNECTIONS
 from ospreybridge.signalling import causes, jsonl
 from ospreybridge.signalling.jsonl import Message
 from tests.platform_rig import Rig
@@ -117,6 +118,47 @@
     assert moment.office.open_connections() == before
 
 
+def test_release_that_crosses_the_close_of_an_idle_connection_is_told_in_time() -> None:
+    """Guards against a release lost because the call server closed an idle connection at that moment."""
+    moment = BusyMoment()
+    moment.rig.offices_close_finished = False
+    calls = {moment.rig.set_up_connection(uid): uid for uid in moment.rig.server.established}
+    closing: set[int] = set()
+    while not closing:
+        moment.office.pass_time(STEP_MS)
+        closing = calls.keys() & {*moment.rig.finished, *moment.rig.closed}
+    moment.connection = closing.pop()
+    moment.uid = calls[moment.connection]
+    moment.office.unsent.append(moment.uid)  # no other connection opens
+    moment.rig.office_sends(moment.connection, "stop", moment.uid, causes.NORMAL_CLEARING)
+    moment.rig.close_finished()
+    moment.assert_caller_told_in_time()
+
+
+def test_idle_connections_closed_with_their_offices_help_are_not_replaced() -> None:
+    """Guards against a connection opened for each idle one that is closed, which would never come to rest."""
+    moment = BusyMoment()
+    moment.office.pass_time(IDLE_TIMEOUT_MS + 500.0)
+    before = moment.office.open_connections()
+    moment.office.pass_time(2.0 * IDLE_TIMEOUT_MS)
+    assert moment.office.open_connections() == before and len(before) == SPARE_CONNECTIONS
+
+
+def test_idle_connection_that_its_office_does_not_close_is_closed_and_replaced() -> None:
+    """Guards against connections kept for ever, and against releases lost when such a one is closed."""
+    moment = BusyMoment()
+    moment.rig.offices_close_finished = False
+    while not moment.rig.finished:
+        moment.office.pass_time(STEP_MS)
+    connection = moment.rig.finished[0]
+    moment.office.useless.add(connection)
+    moment.office.release(moment.uid, connection)
+    moment.office.pass_time(CLOSE_TIMEOUT_MS - 100.0)
+    assert connection not in moment.rig.closed
+    moment.assert_caller_told_in_time()
+    assert connection in moment.rig.closed
+
+
 @pytest.mark.parametrize("end", ["reset", "unreadable"])
 def test_release_lost_with_a_connection_that_ended_is_told_in_time(end: str) -> None:
     """Guards against a release that is lost with its connection, while idle ones need no replacement."""
