Keep releases towards offices until they are confirmed, in one owner of established calls

Cause: _send_to_office in access/server.py wrote a release once on any open connection, or dropped it if there was none. The end of a call had no owner: it was removed from two tables in four places, each with a rule of its own on who is told.

Change: access/established.py owns the calls that stand and whatever ends them; releases.py keeps the releases of both directions until `stopped` is heard or they are 9 s old, 20,000 in each direction, and counts those given up. Towards an office a release goes on any connection in use, again on the next that opens and when its connection has ended. A call that counts as lost is released at its office too, so that both sides are told the same.

--- a/ospreybridge/access/calls.py
+++ b/ospreybridge/access/calls.py
@@ -24,11 +24,10 @@
 
 
 class Stage(IntEnum):
-    """Life of a call."""
+    """Life of a set-up."""
 
     PENDING = 0  # no final answer sent yet
-    ESTABLISHED = 1
-    ENDED = 2
+    ENDED = 1  # answered or given up; an established call lives on in EstablishedCalls
 
 
 @dataclass(slots=True, eq=False)
@@ -41,6 +40,7 @@
     started_at: float
     deadline: float  # without an answer it is cancelled then
     connection_id: int = 0  # the connection it was sent on; 0 while it waits for one
+    sent_at: float = 0.0
     timer: ScheduledTimer | None = None
 
 
@@ -59,10 +59,7 @@
     stage: Stage = Stage.PENDING
     open_attempt: Attempt | None = None
     attempt_count: int = 0
-    office_id: int = 0  # where it is established
     last_cause: int = 0  # release cause of the latest attempt
-    timer: ScheduledTimer | None = None
-    attempt_started_at: float = 0.0  # start of the attempt that established it
 
 
 @dataclass(slots=True, eq=False)
--- /dev/null
+++ b/ospreybridge/access/established.py
@@ -0,0 +1,123 @@
+"""The calls that are established, from the office's answer to the confirmed end at both sides. No I/O.
+
+Each call belongs to one process of one office: the one that its set-up was sent to. Whatever ends a call (its
+caller, its office, the loss of that office or a new start of it) ends it here. The sides that don't know of
+the end yet are told by releases that are repeated until they are confirmed.
+
+Times are milliseconds of the event loop's clock.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import OrderedDict
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from ospreybridge.access.releases import CallerReleases, OfficeReleases
+from ospreybridge.signalling import causes
+
+MAX_ESTABLISHED = 20_000  # each takes a few hundred octets
+MAX_EARLY_RELEASES = 4_000  # releases of calls that no caller has named since a restart
+
+
+@dataclass(slots=True, eq=False)
+class EstablishedCall:
+    """One established call."""
+
+    uid: str
+    office_id: int
+    client_id: int  # the connection of its caller
+    sent_at: float = -math.inf  # when the set-up that was answered was sent; unknown for a restored call
+    ref: int = 0  # its number at the controller; 0: a restored call, of which the controller does not know
+    attempt_number: int = 0
+    attempt_started_at: float = 0.0
+
+
+class EstablishedCalls:
+    """All established calls, and the releases that their callers and offices have not confirmed."""
+
+    def __init__(self) -> None:
+        self.to_callers = CallerReleases()
+        self.to_offices = OfficeReleases()
+        self._calls: dict[str, EstablishedCall] = {}
+        self._by_office: dict[int, dict[str, EstablishedCall]] = {}
+        self._early_releases: OrderedDict[str, int] = OrderedDict()  # uid -> cause
+
+    def __contains__(self, uid: str) -> bool:
+        return uid in self._calls
+
+    def __iter__(self) -> Iterator[str]:
+        return iter(self._calls)
+
+    def __len__(self) -> int:
+        return len(self._calls)
+
+    def count_at(self, office_id: int) -> int:
+        """The number of calls established at an office."""
+        return len(self._by_office.get(office_id, ()))
+
+    def needs_office(self, office_id: int) -> bool:
+        """Whether a connection to an office is needed for its calls or for releases towards it."""
+        return office_id in self._by_office or self.to_offices.has_any(office_id)
+
+    def releases_given_up(self) -> int:
+        """The number of releases, in both directions, that were never confirmed."""
+        return self.to_callers.given_up + self.to_offices.given_up
+
+    def is_full(self) -> bool:
+        """Whether no further call may be restored."""
+        return len(self._calls) >= MAX_ESTABLISHED
+
+    def add(self, call: EstablishedCall) -> None:
+        """Records a call that an office answered or that its caller reports as established."""
+        self._calls[call.uid] = call
+        self._by_office.setdefault(call.office_id, {})[call.uid] = call
+
+    def take_early_release(self, uid: str) -> int | None:
+        """The cause of an office's release that came before the caller named the call, if one did."""
+        return self._early_releases.pop(uid, None)
+
+    def released_by_caller(self, now: float, uid: str) -> EstablishedCall | None:
+        """Ends a call for its caller; its office has to be told. None if there is no such call."""
+        call = self._calls.get(uid)
+        if call is not None:
+            self._remove(call)
+            self.to_offices.begin(now, uid, causes.NORMAL_CLEARING, call.office_id)
+        return call
+
+    def released_by_office(self, now: float, uid: str, office_id: int, cause: int) -> EstablishedCall | None:
+        """Ends a call for its office; its caller has to be told. None if the office has no such call."""
+        call = self._calls.get(uid)
+        if call is None:
+            self._record_early_release(uid, cause)
+            return None
+        if call.office_id != office_id:
+            return None
+        self._remove(call)
+        self.to_callers.begin(now, uid, cause)
+        return call
+
+    def lost_with_office(self, now: float, office_id: int) -> list[EstablishedCall]:
+        """Ends all calls at an office that counts as lost."""
+        return [self._lost(now, call) for call in list(self._by_office.get(office_id, {}).values())]
+
+    def _lost(self, now: float, call: EstablishedCall) -> EstablishedCall:
+        """Ends a call that counts as lost; both sides are told, as the office may hold it all the same."""
+        self._remove(call)
+        self.to_callers.begin(now, call.uid, causes.TEMPORARY_FAILURE)
+        self.to_offices.begin(now, call.uid, causes.TEMPORARY_FAILURE, call.office_id)
+        return call
+
+    def _remove(self, call: EstablishedCall) -> None:
+        del self._calls[call.uid]
+        calls_there = self._by_office[call.office_id]
+        del calls_there[call.uid]
+        if not calls_there:
+            del self._by_office[call.office_id]
+
+    def _record_early_release(self, uid: str, cause: int) -> None:
+        """The call may have been established before this process started, and not been reported yet."""
+        self._early_releases[uid] = cause
+        if len(self._early_releases) > MAX_EARLY_RELEASES:
+            self._early_releases.popitem(last=False)
--- a/ospreybridge/access/releases.py
+++ b/ospreybridge/access/releases.py
@@ -1,44 +1,89 @@
-"""Reliable delivery of releases (`stop` of an established call) to callers. No I/O.
+"""Reliable delivery of releases (`stop` of an established call) to callers and to offices. No I/O.
 
-A release may be sent on any connection from callers, but not everyone who connects is a caller, and others
-ignore it. So the connection of the call is preferred, then the most trusted and most recently active one. A
-release that isn't confirmed (`stopped`) is sent again on another connection until it is confirmed or too old.
+Both directions follow the same rules: a release is sent on the best open connection and kept while there is
+none. It is sent again elsewhere if that one was of no use, until it is confirmed (`stopped`) or too old.
+
+What the best connection is differs. A release to a caller may be sent on any connection from callers, but not
+everyone who connects is a caller, and others ignore it: the connection of the call is preferred, then the
+most trusted and most recently active one, and an unconfirmed release is sent again on another one after a
+while. An office has connections of its own: any that is in use will do, and an unconfirmed release is sent
+again on the next one that opens.
 """
 
 from __future__ import annotations
 
+from collections import OrderedDict
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from ospreybridge.access.calls import Client
 
 RESEND_AFTER_MS = 250.0  # allows three connections within the second that the platform's rule gives
-MAX_AGE_MS = 9_000.0  # by the platform's rule callers wait for eight seconds
+MAX_AGE_MS = 9_000.0  # by the platform's rule callers and offices wait for eight seconds
+MAX_UNCONFIRMED = 20_000  # in each direction; the oldest is given up for a new one
 
 
 @dataclass(slots=True)
 class Release:
-    """One release that no caller has confirmed yet."""
+    """One release that is not confirmed yet."""
 
+    uid: str
     cause: int
     started_at: float
+    office_id: int = 0  # towards an office: which one
     connection_id: int = 0  # where it was sent last; 0: not sent yet
     sent_at: float = 0.0
     tried: set[int] = field(default_factory=set)  # connections that it was sent on
 
+    def sent(self, now: float, connection_id: int) -> None:
+        """Records that it is sent on a connection now."""
+        self.connection_id, self.sent_at = connection_id, now
+        self.tried.add(connection_id)
+
 
 class Releases:
-    """The unconfirmed releases, by uid of their call."""
+    """The unconfirmed releases of one direction, by uid of their call, oldest first."""
 
     def __init__(self) -> None:
-        self.unconfirmed: dict[str, Release] = {}
+        self.unconfirmed: OrderedDict[str, Release] = OrderedDict()
+        self.given_up = 0
 
-    def begin(self, now: float, uid: str, cause: int) -> Release:
+    def begin(self, now: float, uid: str, cause: int, office_id: int = 0) -> Release:
         """The release of a call, created if there is none."""
         release = self.unconfirmed.get(uid)
         if release is None:
-            release = self.unconfirmed[uid] = Release(cause, now)
+            if len(self.unconfirmed) >= MAX_UNCONFIRMED:
+                self._give_up(next(iter(self.unconfirmed.values())))
+            release = self.unconfirmed[uid] = Release(uid, cause, now, office_id)
         return release
 
+    def confirm(self, uid: str) -> bool:
+        """The far end sent `stopped`; returns whether a release was waiting for it."""
+        release = self.unconfirmed.get(uid)
+        if release is None:
+            return False
+        self._remove(release)
+        return True
+
+    def expire(self, now: float) -> None:
+        """Gives up the releases that are too old."""
+        while self.unconfirmed:
+            oldest = next(iter(self.unconfirmed.values()))
+            if now - oldest.started_at <= MAX_AGE_MS:
+                return
+            self._give_up(oldest)
+
+    def _give_up(self, release: Release) -> None:
+        self.given_up += 1
+        self._remove(release)
+
+    def _remove(self, release: Release) -> None:
+        del self.unconfirmed[release.uid]
+
+
+class CallerReleases(Releases):
+    """Releases towards callers."""
+
     def choose_client(
         self, now: float, release: Release, preferred_id: int, clients: dict[int, Client]
     ) -> Client | None:
@@ -56,24 +101,59 @@
                 default=None,
             )
         if client is not None:
-            release.connection_id, release.sent_at = client.connection_id, now
-            release.tried.add(client.connection_id)
+            release.sent(now, client.connection_id)
         return client
 
-    def confirm(self, uid: str) -> None:
-        """The caller sent `stopped`."""
-        self.unconfirmed.pop(uid, None)
-
-    def due(self, now: float, closed_id: int = 0) -> list[tuple[str, Release]]:
+    def due(self, now: float, closed_id: int = 0) -> list[Release]:
         """Releases to send (again): unconfirmed for too long, or sent on the connection that just closed."""
-        for uid in [
-            uid for uid, release in self.unconfirmed.items() if now - release.started_at > MAX_AGE_MS
-        ]:
-            del self.unconfirmed[uid]
+        self.expire(now)
         return [
-            (uid, release)
-            for uid, release in self.unconfirmed.items()
+            release
+            for release in self.unconfirmed.values()
             if (closed_id and release.connection_id == closed_id)
             or not release.connection_id
             or now - release.sent_at >= RESEND_AFTER_MS
         ]
+
+
+class OfficeReleases(Releases):
+    """Releases towards offices."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._by_office: dict[int, dict[str, Release]] = {}
+
+    def begin(self, now: float, uid: str, cause: int, office_id: int = 0) -> Release:
+        """The release of a call at an office, created if there is none."""
+        release = super().begin(now, uid, cause, office_id)
+        self._by_office.setdefault(release.office_id, {})[uid] = release
+        return release
+
+    def has_any(self, office_id: int) -> bool:
+        """Whether a release waits for a confirmation by an office."""
+        return office_id in self._by_office
+
+    def of_office(self, office_id: int) -> list[Release]:
+        """The unconfirmed releases towards an office: what a connection that opens is used for first."""
+        return list(self._by_office.get(office_id, {}).values())
+
+    def unsent(self, office_id: int, open_ids: Iterable[int]) -> list[Release]:
+        """Releases that were not sent on any connection which is still open."""
+        open_connections = set(open_ids)
+        return [
+            release
+            for release in self._by_office.get(office_id, {}).values()
+            if release.connection_id not in open_connections
+        ]
+
+    def forget_office(self, office_id: int) -> None:
+        """Drops the releases towards an office that has left the list."""
+        for release in self.of_office(office_id):
+            self._give_up(release)
+
+    def _remove(self, release: Release) -> None:
+        super()._remove(release)
+        releases = self._by_office[release.office_id]
+        del releases[release.uid]
+        if not releases:
+            del self._by_office[release.office_id]
--- a/ospreybridge/access/server.py
+++ b/ospreybridge/access/server.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from collections import Counter, OrderedDict, deque
+from collections import Counter, deque
 from collections.abc import Callable
 from random import Random
 from typing import Any, Protocol
@@ -18,9 +18,10 @@
 from ospreybridge.access import calls
 from ospreybridge.access.admission import Admission
 from ospreybridge.access.calls import Attempt, Call, Client, Stage
+from ospreybridge.access.established import EstablishedCall, EstablishedCalls
 from ospreybridge.access.offices import OfficeList
 from ospreybridge.access.pool import ConnectionPool, OfficeConnection
-from ospreybridge.access.releases import Release, Releases
+from ospreybridge.access.releases import Release
 from ospreybridge.core.timers import TimerQueue
 from ospreybridge.policy import Controller
 from ospreybridge.settings.instance import read_report
@@ -34,8 +35,6 @@
 MOOT_CAUSE = causes.TIMER_EXPIRY  # sent by an office for a set-up that it never passed on
 ANSWER_SLACK_MS = 50.0  # the platform itself allows this much beyond each time limit of its rules
 MAINTENANCE_INTERVAL_MS = 50.0
-MAX_ESTABLISHED = 20_000  # each takes a few hundred octets
-MAX_EARLY_RELEASES = 4_000  # releases of calls that no caller has named since a restart
 MAX_DATAGRAM_BYTES = 256
 # The phases of a shutdown, in milliseconds after SIGTERM.
 STOP_ACCEPT_MS = 700.0  # until then new calls are served as usual
@@ -90,10 +89,7 @@
         self.pool_by_connection: dict[int, ConnectionPool] = {}  # open connections and those being opened
         self.calls_by_ref: dict[int, Call] = {}  # calls that the controller's actions may refer to
         self.pending: dict[str, Call] = {}
-        self.established: dict[str, Call] = {}
-        self.established_by_office: dict[int, dict[str, Call]] = {}
-        self.releases = Releases()
-        self.early_releases: OrderedDict[str, int] = OrderedDict()  # uid -> cause
+        self.established = EstablishedCalls()
         self.open_probes: dict[str, tuple[int, float]] = {}  # uid -> office, time sent
         self.events: deque[interface.Event] = deque()
         self.handling_events = False
@@ -142,8 +138,7 @@
             self._mark_valid(now, client)
             self._send(connection_id, Message(jsonl.CHECKED, message.uid, {}, 1))
         elif message.kind == jsonl.STOPPED:
-            if message.uid in self.releases.unconfirmed:
-                self.releases.confirm(message.uid)
+            if self.established.to_callers.confirm(message.uid):
                 client.trust = calls.TRUST_SERVED
         elif message.kind == jsonl.STAGING:
             pass
@@ -163,16 +158,14 @@
             return
         for call in list(client.pending_calls.values()):
             self._caller_left(now, call)
-        for uid, release in self.releases.due(now, connection_id):
-            self._send_release(now, uid, release)
+        self._send_due_releases(now, connection_id)
         self._process_events(now)
 
     def _mark_valid(self, now: float, client: Client) -> None:
         """Records a client's first valid message; releases that had no client to go to are sent now."""
         if client.trust == calls.TRUST_UNKNOWN:
             client.trust = calls.TRUST_VALID_MESSAGE
-            for uid, release in self.releases.due(now):
-                self._send_release(now, uid, release)
+            self._send_due_releases(now)
 
     def _handle_set_up(self, now: float, client: Client, message: Message) -> None:
         """Validates a set-up and passes it to the controller, or answers it at once."""
@@ -246,17 +239,14 @@
         It is released instead if it ended meanwhile, if its office is gone, or if there are too many calls.
         """
         self._mark_valid(now, client)
-        cause = self.early_releases.pop(uid, None)
+        cause = self.established.take_early_release(uid)
+        if cause is None and (office_id not in self.office_list.by_id or self.established.is_full()):
+            cause = RESET_CAUSE
         if cause is not None:
-            self._begin_release(now, uid, cause, client.connection_id)
+            release = self.established.to_callers.begin(now, uid, cause)
+            self._send_caller_release(now, release, client.connection_id)
             return
-        if office_id not in self.office_list.by_id or len(self.established) >= MAX_ESTABLISHED:
-            self._begin_release(now, uid, RESET_CAUSE, client.connection_id)
-            return
-        call = Call(
-            0, uid, "", "", None, client.connection_id, 0.0, stage=Stage.ESTABLISHED, office_id=office_id
-        )
-        self._add_established(call)
+        self.established.add(EstablishedCall(uid, office_id, client.connection_id))
         self.counts["told to stand"] += 1
 
     def _handle_caller_stop(self, now: float, client: Client, message: Message) -> None:
@@ -268,12 +258,10 @@
                 self._caller_left(now, call)
                 self._process_events(now)
             return
-        call = self.established.get(message.uid)
-        if call is not None:
-            self._end_established(now, call, interface.Result.CANCELLED)
-            self._send_to_office(
-                now, call.office_id, Message(jsonl.STOP, call.uid, {}, causes.NORMAL_CLEARING)
-            )
+        established = self.established.released_by_caller(now, message.uid)
+        if established is not None:
+            self._report_end(now, established, interface.Result.CANCELLED)
+            self._send_office_releases(now, established.office_id)
             self._process_events(now)
         self._send(client.connection_id, Message(jsonl.STOPPED, message.uid))
 
@@ -317,51 +305,68 @@
                 meta["wait"] = str(int(action.retry_after))
         self._send_final_stop(now, call, cause, meta)
 
-    def _add_established(self, call: Call) -> None:
-        self.established[call.uid] = call
-        self.established_by_office.setdefault(call.office_id, {})[call.uid] = call
-
-    def _end_established(
-        self, now: float, call: Call, result: interface.Result, report: interface.Report | None = None
+    def _report_end(
+        self,
+        now: float,
+        call: EstablishedCall,
+        result: interface.Result,
+        report: interface.Report | None = None,
     ) -> None:
-        """Removes an established call; reports it to the controller unless it was restored."""
-        self.established.pop(call.uid, None)
-        calls_there = self.established_by_office.get(call.office_id)
-        if calls_there is not None:
-            calls_there.pop(call.uid, None)
-            if not calls_there:
-                del self.established_by_office[call.office_id]
-        call.stage = Stage.ENDED
+        """Counts the end of an established call and reports it to the controller unless it was restored."""
         self.finals["ended" if result is interface.Result.OK else "cut"] += 1
-        if self.calls_by_ref.pop(call.ref, None) is not None:
+        if call.ref:
             elapsed = now - call.attempt_started_at
             self.events.append(
                 interface.Outcome(
-                    call.ref, call.attempt_count - 1, call.office_id, result, elapsed, True, report=report
+                    call.ref, call.attempt_number, call.office_id, result, elapsed, True, report=report
                 )
             )
 
-    def _begin_release(self, now: float, uid: str, cause: int, connection_id: int = 0) -> None:
-        """Begins to report a call's end to its caller: on the given connection if usable, else another."""
-        self._send_release(now, uid, self.releases.begin(now, uid, cause), connection_id)
-
-    def _send_release(self, now: float, uid: str, release: Release, connection_id: int = 0) -> None:
-        client = self.releases.choose_client(now, release, connection_id, self.clients)
-        if client is not None:
-            self._send(client.connection_id, Message(jsonl.STOP, uid, {}, release.cause))
+    def _report_lost(self, now: float, office_id: int, lost: list[EstablishedCall], reason: str) -> None:
+        """Reports calls that were lost with a process of an office, and tells both sides of each."""
+        if not lost:
+            return
+        self.log_event(
+            "standing calls lost", office=frames.office_name(office_id), calls=len(lost), reason=reason
+        )
+        for call in lost:
+            self._report_end(now, call, interface.Result.RESET)
+            release = self.established.to_callers.begin(now, call.uid, RESET_CAUSE)
+            self._send_caller_release(now, release, call.client_id)
+        self._send_office_releases(now, office_id)
 
     def _end_office_calls(self, now: float, office_id: int, reason: str) -> None:
         """Ends all calls established at a lost office and retires the connections to it."""
         for connection_id in self.pools[office_id].connections if office_id in self.pools else ():
             self._retire_connection(now, self.pools[office_id], connection_id)
-        lost = list(self.established_by_office.get(office_id, {}).values())
-        if lost:
-            self.log_event(
-                "standing calls lost", office=frames.office_name(office_id), calls=len(lost), reason=reason
-            )
-        for call in lost:
-            self._end_established(now, call, interface.Result.RESET)
-            self._begin_release(now, call.uid, RESET_CAUSE, call.client_id)
+        self._report_lost(now, office_id, self.established.lost_with_office(now, office_id), reason)
+
+    # -- releases
+
+    def _send_due_releases(self, now: float, closed_id: int = 0) -> None:
+        """Sends the releases to callers that are due, also those sent on a connection that just closed."""
+        for release in self.established.to_callers.due(now, closed_id):
+            self._send_caller_release(now, release)
+
+    def _send_caller_release(self, now: float, release: Release, connection_id: int = 0) -> None:
+        """Sends a release to its caller: on the given connection if usable, else on another one."""
+        client = self.established.to_callers.choose_client(now, release, connection_id, self.clients)
+        if client is not None:
+            self._send(client.connection_id, Message(jsonl.STOP, release.uid, {}, release.cause))
+
+    def _send_office_releases(self, now: float, office_id: int) -> None:
+        """Sends the releases to an office that are on no open connection, as soon as there is one."""
+        pool = self.pools.get(office_id)
+        connection = pool.any_connection() if pool is not None else None
+        if pool is None or connection is None:
+            return
+        for release in self.established.to_offices.unsent(office_id, pool.connections):
+            self._send_office_release(now, connection, release)
+
+    def _send_office_release(self, now: float, connection: OfficeConnection, release: Release) -> None:
+        release.sent(now, connection.id)
+        connection.message_due(now)
+        self._send(connection.id, Message(jsonl.STOP, release.uid, {}, release.cause))
 
     # -- the controller
 
@@ -448,6 +453,7 @@
             self._end_attempt(now, attempt, interface.Result.CONNECT_FAILED)
             return
         attempt.connection_id = connection.id
+        attempt.sent_at = now
         connection.attempts[call.uid] = attempt
         connection.message_due(now)
         time_left = max(1, int(attempt.deadline - now))
@@ -563,9 +569,11 @@
         if pool is None:
             self.transport.close(connection_id, "office removed from the list")
             return
-        pool.dial_succeeded(now, connection_id)
+        connection = pool.dial_succeeded(now, connection_id)
         self.counts["office connections opened"] += 1
         self._trace_connection("connection opened", pool, connection_id)
+        for release in self.established.to_offices.of_office(pool.office_id):
+            self._send_office_release(now, connection, release)
         self._serve_waiting(now, pool)
         self._process_events(now)
 
@@ -583,7 +591,7 @@
                 office=frames.office_name(pool.office_id),
                 refused=refused,
                 open=len(pool.connections),
-                standing=len(self.established_by_office.get(pool.office_id, ())),
+                standing=self.established.count_at(pool.office_id),
             )
         pool.dial_failed(now, connection_id, refused)
         self.counts["connects failed"] += 1
@@ -594,7 +602,7 @@
 
     def _check_office_lost(self, now: float, pool: ConnectionPool) -> None:
         """Ends the calls established at an office that counts as lost."""
-        if pool.office_id in self.established_by_office and pool.is_lost(now):
+        if self.established.count_at(pool.office_id) and pool.is_lost(now):
             self._end_office_calls(
                 now, pool.office_id, "refuses connections" if pool.dial_refused else "silent"
             )
@@ -632,6 +640,7 @@
         connection = pool.connection_ended(now, connection_id)
         for attempt in list(connection.attempts.values()) if connection is not None else ():
             self._end_attempt(now, attempt, interface.Result.RESET)
+        self._send_office_releases(now, pool.office_id)
         self._process_events(now)
 
     def _handle_office_message(
@@ -662,6 +671,8 @@
                 self.events.append(
                     interface.Probed(office_id, result, now - sent_at, self._parse_load(message.meta))
                 )
+        elif kind == jsonl.STOPPED:
+            self.established.to_offices.confirm(uid)
         elif kind == jsonl.CHECK:
             self._send(connection.id, Message(jsonl.CHECKED, uid, {}, 1))
         elif kind == jsonl.LAUNCH:
@@ -674,14 +685,20 @@
             self._attempt_timed_out(now, attempt)
             return
         self._detach_attempt(now, attempt)
-        call.open_attempt, call.office_id, call.attempt_started_at = (
-            None,
-            attempt.office_id,
-            attempt.started_at,
-        )
+        call.open_attempt = None
         self._close_set_up(call)
-        call.stage = Stage.ESTABLISHED
-        self._add_established(call)
+        self.calls_by_ref.pop(call.ref, None)
+        self.established.add(
+            EstablishedCall(
+                call.uid,
+                attempt.office_id,
+                call.client_id,
+                attempt.sent_at,
+                call.ref,
+                attempt.number,
+                attempt.started_at,
+            )
+        )
         self.finals["stands"] += 1
         client = self.clients.get(call.client_id)
         if client is not None:
@@ -704,20 +721,14 @@
             self._end_attempt(now, attempt, result, note, wait, report)
             return
         self._send(connection.id, Message(jsonl.STOPPED, uid))
-        call = self.established.get(uid)
-        if call is not None and call.office_id == pool.office_id:
-            self._end_established(
-                now,
-                call,
-                interface.Result.OK if cause == causes.NORMAL_CLEARING else interface.Result.RESET,
-                report,
-            )
-            self._begin_release(now, uid, cause, call.client_id)
-        elif call is None and uid not in self.pending:
-            # May be a call established before this process started that its caller has not reported yet.
-            self.early_releases[uid] = cause
-            if len(self.early_releases) > MAX_EARLY_RELEASES:
-                self.early_releases.popitem(last=False)
+        if uid in self.pending:
+            return
+        call = self.established.released_by_office(now, uid, pool.office_id, cause)
+        if call is not None:
+            result = interface.Result.OK if cause == causes.NORMAL_CLEARING else interface.Result.RESET
+            self._report_end(now, call, result, report)
+            release = self.established.to_callers.begin(now, uid, cause)
+            self._send_caller_release(now, release, call.client_id)
 
     def _interpret_stop(self, message: Message) -> tuple[interface.Result, interface.Note, float]:
         """The result, note and wait (milliseconds) in an office's `stop` for an unanswered set-up."""
@@ -764,13 +775,6 @@
             self.events.append(interface.Probed(office_id, interface.Result.TIMEOUT, now - sent_at))
             self._process_events(now)
 
-    def _send_to_office(self, now: float, office_id: int, message: Message) -> None:
-        """Sends a message that belongs to no open attempt; it is lost if there is no connection."""
-        pool = self.pools.get(office_id)
-        connection = pool.any_connection() if pool is not None else None
-        if connection is not None:
-            self._send(connection.id, message)
-
     # -- the office list
 
     def apply_list_event(self, now: float, frame: frames.Frame) -> None:
@@ -800,12 +804,13 @@
         if pool is None:
             self.office_list.forget(office_id)
             return
-        if office_id in self.established_by_office or any(
+        if self.established.count_at(office_id) or any(
             connection.attempts for connection in pool.connections.values()
         ):
             return
         del self.pools[office_id]
         self.office_list.forget(office_id)
+        self.established.to_offices.forget_office(office_id)
         for attempt in list(pool.waiting):
             self._end_attempt(now, attempt, interface.Result.CONNECT_FAILED)
         for connection_id in [*pool.connections, *pool.dialling]:
@@ -831,7 +836,7 @@
                 self._remove_office(now, pool.office_id)
                 if pool.office_id not in self.pools:
                     continue
-            has_calls = pool.office_id in self.established_by_office and not (
+            has_calls = self.established.needs_office(pool.office_id) and not (
                 gone and office.address in used_addresses
             )
             ready = office.readiness is interface.Readiness.READY
@@ -848,8 +853,9 @@
             self.counts["clients mute"] += 1
             self.transport.close(client.connection_id, "no valid message in time")
             self.client_disconnected(now, client.connection_id)
-        for uid, release in self.releases.due(now):
-            self._send_release(now, uid, release)
+        self._send_due_releases(now)
+        self.established.to_offices.expire(now)
+        self.counts["releases given up"] = self.established.releases_given_up()
         self._process_events(now)
 
     def _close_unused_connections(self, now: float, pool: ConnectionPool) -> None:
@@ -905,7 +911,7 @@
                 "window": round(exchange.window, 2) if exchange else None,
                 "pending": len(exchange.unanswered) if exchange else 0,
                 "out": open_attempts,
-                "standing": len(self.established_by_office.get(office_id, ())),
+                "standing": self.established.count_at(office_id),
                 "links": len(pool.connections),
                 "heard": round(now - pool.last_received),
                 "failures": pool.failures,
--- a/tests/test_access.py
+++ b/tests/test_access.py
@@ -272,7 +272,7 @@
     rig.server.client_disconnected(rig.now, one)
     assert rig.messages_of(uid, two, "stop")
     rig.advance(20_000.0)
-    assert not rig.server.releases.unconfirmed
+    assert not rig.server.established.to_callers.unconfirmed
 
 
 def test_call_restored_by_its_caller_is_released_even_if_it_ended_before() -> None:
