End only the earlier process's calls when the list tells of a new start

Cause: apply_list_event ended every call at an office whose start time changed, whatever its age, and told the callers alone.

Change: a start that becomes known ends the calls whose set-up was sent before it, and each of these is released at its office too. An answer on a set-up sent before a start already known establishes nothing. Connections opened before it are retired, later ones kept.

--- a/ospreybridge/access/established.py
+++ b/ospreybridge/access/established.py
@@ -102,6 +102,18 @@
         """Ends all calls at an office that counts as lost."""
         return [self._lost(now, call) for call in list(self._by_office.get(office_id, {}).values())]
 
+    def lost_by_start(self, now: float, office_id: int, started_at: float) -> list[EstablishedCall]:
+        """Ends the calls of the processes that ran at an office before the one started at `started_at`.
+
+        To be asked once, when the start becomes known: for a restored call it isn't known which process
+        answered, so it ends.
+        """
+        return [
+            self._lost(now, call)
+            for call in list(self._by_office.get(office_id, {}).values())
+            if call.sent_at < started_at
+        ]
+
     def _lost(self, now: float, call: EstablishedCall) -> EstablishedCall:
         """Ends a call that counts as lost; both sides are told, as the office may hold it all the same."""
         self._remove(call)
--- a/ospreybridge/access/offices.py
+++ b/ospreybridge/access/offices.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 from ospreybridge import interface
@@ -31,6 +32,7 @@
     readiness: interface.Readiness
     started_at: float  # milliseconds of the loop's clock; 0: long ago
     readiness_since: float  # when the present readiness was learnt
+    process_since: float = -math.inf  # set-ups sent before went to an earlier process than the present one
 
 
 class OfficeList:
@@ -79,11 +81,10 @@
                 0.0,
             )
         if record.state != frames.REMOVED:
-            office.cell, office.address, office.started_at = (
-                record.cell,
-                (record.address, record.port),
-                started_at,
-            )
+            office.cell, office.address = record.cell, (record.address, record.port)
+            if started_at != office.started_at:
+                # A start that seems to lie ahead, as clocks differ, is not later than the news of it.
+                office.started_at, office.process_since = started_at, min(started_at, now)
         self._set_readiness(now, office, READINESS_BY_STATE[record.state])
         weight = record.weight / WEIGHT_SCALE
         return interface.Entry(
--- a/ospreybridge/access/pool.py
+++ b/ospreybridge/access/pool.py
@@ -32,10 +32,10 @@
 class OfficeConnection:
     """An open connection to an office."""
 
-    __slots__ = ("attempts", "finished", "id", "idle_since", "retired", "waiting_since")
+    __slots__ = ("attempts", "finished", "id", "idle_since", "opened_at", "retired", "waiting_since")
 
     def __init__(self, connection_id: int, now: float) -> None:
-        self.id, self.idle_since = connection_id, now
+        self.id, self.opened_at, self.idle_since = connection_id, now, now
         self.retired = False  # takes no new set-ups; closed once what is still in transit can have arrived
         self.finished = False  # nothing more is sent on it; it is read until the office closes it
         self.attempts: dict[str, Attempt] = {}  # sent on it and unanswered, by uid
@@ -125,6 +125,14 @@
         if connection is not None:
             connection.waiting_since = now
 
+    def opened_before(self, time: float) -> list[int]:
+        """The numbers of the connections in use that were opened before a time."""
+        return [
+            connection.id
+            for connection in self.connections.values()
+            if not connection.retired and connection.opened_at < time
+        ]
+
     def check_responses(self, now: float) -> list[int]:
         """The numbers of the unresponsive connections to retire, as no set-up on them will time out.
 
--- a/ospreybridge/access/server.py
+++ b/ospreybridge/access/server.py
@@ -19,7 +19,7 @@
 from ospreybridge.access.admission import Admission
 from ospreybridge.access.calls import Attempt, Call, Client, Stage
 from ospreybridge.access.established import EstablishedCall, EstablishedCalls
-from ospreybridge.access.offices import OfficeList
+from ospreybridge.access.offices import Office, OfficeList
 from ospreybridge.access.pool import ConnectionPool, OfficeConnection
 from ospreybridge.access.releases import Release
 from ospreybridge.core.timers import TimerQueue
@@ -684,6 +684,9 @@
         if now > call.expires_at + self.settings.rules.grace_to_answer + ANSWER_SLACK_MS:
             self._attempt_timed_out(now, attempt)
             return
+        if attempt.sent_at < self.office_list.by_id[attempt.office_id].process_since:
+            self._answered_by_earlier_process(now, attempt)
+            return
         self._detach_attempt(now, attempt)
         call.open_attempt = None
         self._close_set_up(call)
@@ -708,6 +711,11 @@
             interface.Established(call.ref, attempt.number, attempt.office_id, now - attempt.started_at)
         )
 
+    def _answered_by_earlier_process(self, now: float, attempt: Attempt) -> None:
+        """The list told of the office's new start before this answer arrived: the call does not stand."""
+        self._send(attempt.connection_id, Message(jsonl.STOP, attempt.call.uid, {}, RESET_CAUSE))
+        self._end_attempt(now, attempt, interface.Result.RESET)
+
     def _handle_office_stop(
         self, now: float, pool: ConnectionPool, connection: OfficeConnection, message: Message
     ) -> None:
@@ -779,13 +787,13 @@
 
     def apply_list_event(self, now: float, frame: frames.Frame) -> None:
         """Applies one event of the journal service; FrameError if it is invalid."""
-        started_before = {office.id: office.started_at for office in self.office_list.by_id.values()}
+        since_before = {office.id: office.process_since for office in self.office_list.by_id.values()}
         members = self.office_list.apply(now, frame)
         if members is None:
             return
         for office in list(self.office_list.by_id.values()):
-            if office.started_at != started_before.get(office.id, office.started_at):
-                self._end_office_calls(now, office.id, "started again")
+            if office.process_since > since_before.get(office.id, office.process_since):
+                self._end_earlier_process(now, office)
             if office.readiness is interface.Readiness.GONE:
                 self._remove_office(now, office.id)
             elif office.cell != self.settings.own_exchange and office.id not in self.pools:
@@ -795,6 +803,15 @@
         self.events.append(members)
         self._process_events(now)
 
+    def _end_earlier_process(self, now: float, office: Office) -> None:
+        """The list told of a new start: ends the calls and retires the connections of the process before."""
+        pool = self.pools.get(office.id)
+        if pool is not None:
+            for connection_id in pool.opened_before(office.process_since):
+                self._retire_connection(now, pool, connection_id)
+        lost = self.established.lost_by_start(now, office.id, office.process_since)
+        self._report_lost(now, office.id, lost, "started again")
+
     def _remove_office(self, now: float, office_id: int) -> None:
         """Closes the connections to an office that left the list: another office may take its address.
 
