Pass a caller's release of a call from before a restart to the offices

What callers would see: a call that stood through a restart of its call server and was not reported with `at` is answered `stopped` when its caller ends it, and stands on at its office for good (seen in the review, no case).

Cause: a release of a call that the process doesn't know was answered and forgotten.

Change: for 30 s after the start, and for 500 calls at most, such a release goes to all offices and is repeated like any other. An office that doesn't have the call has nothing to do. Releases don't make a connection unresponsive twice: offices need not confirm them.

--- a/ospreybridge/access/established.py
+++ b/ospreybridge/access/established.py
@@ -11,7 +11,7 @@
 
 import math
 from collections import OrderedDict
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
 from ospreybridge.access.releases import CallerReleases, OfficeReleases
@@ -19,6 +19,10 @@
 
 MAX_ESTABLISHED = 20_000  # each takes a few hundred octets
 MAX_EARLY_RELEASES = 4_000  # releases of calls that no caller has named since a restart
+# Callers' releases of calls that this process doesn't know are passed to all offices for some time after its
+# start: the calls may have been established before it, and not been reported yet.
+UNKNOWN_CALLS_WINDOW_MS = 30_000.0
+MAX_UNKNOWN_CALLS = 500  # in that time
 
 
 @dataclass(slots=True, eq=False)
@@ -37,7 +41,10 @@
 class EstablishedCalls:
     """All established calls, and the releases that their callers and offices have not confirmed."""
 
-    def __init__(self) -> None:
+    def __init__(self, now: float) -> None:
+        """`now`: the start of this process."""
+        self._unknown_calls_until = now + UNKNOWN_CALLS_WINDOW_MS
+        self._unknown_calls = 0
         self.to_callers = CallerReleases()
         self.to_offices = OfficeReleases()
         self._calls: dict[str, EstablishedCall] = {}
@@ -86,6 +93,18 @@
             self.to_offices.begin(now, uid, causes.NORMAL_CLEARING, call.office_id)
         return call
 
+    def release_unknown(self, now: float, uid: str, office_ids: Iterable[int]) -> bool:
+        """Begins the release of a call, established before this process started, at whichever office has it.
+
+        Returns False, and begins nothing, long after the start and for too many calls.
+        """
+        if now >= self._unknown_calls_until or self._unknown_calls >= MAX_UNKNOWN_CALLS:
+            return False
+        self._unknown_calls += 1
+        for office_id in office_ids:
+            self.to_offices.begin(now, uid, causes.NORMAL_CLEARING, office_id).reply_due = False
+        return True
+
     def released_by_office(self, now: float, uid: str, office_id: int, cause: int) -> EstablishedCall | None:
         """Ends a call for its office; its caller has to be told. None if the office has no such call."""
         call = self._calls.get(uid)
--- a/ospreybridge/access/releases.py
+++ b/ospreybridge/access/releases.py
@@ -34,6 +34,7 @@
     connection_id: int = 0  # where it was sent last; 0: not sent yet
     sent_at: float = 0.0
     tried: set[int] = field(default_factory=set)  # connections that it was sent on
+    reply_due: bool = True  # the far end has the call, so it reacts when the release is first sent
 
     def sent(self, now: float, connection_id: int) -> None:
         """Records that it is sent on a connection now."""
@@ -42,24 +43,24 @@
 
 
 class Releases:
-    """The unconfirmed releases of one direction, by uid of their call, oldest first."""
+    """The unconfirmed releases of one direction, oldest first."""
 
     def __init__(self) -> None:
-        self.unconfirmed: OrderedDict[str, Release] = OrderedDict()
+        self.unconfirmed: OrderedDict[tuple[int, str], Release] = OrderedDict()  # by office and uid
         self.given_up = 0
 
     def begin(self, now: float, uid: str, cause: int, office_id: int = 0) -> Release:
-        """The release of a call, created if there is none."""
-        release = self.unconfirmed.get(uid)
+        """The release of a call, created if there is none; towards an office, its number is given."""
+        release = self.unconfirmed.get((office_id, uid))
         if release is None:
             if len(self.unconfirmed) >= MAX_UNCONFIRMED:
                 self._give_up(next(iter(self.unconfirmed.values())))
-            release = self.unconfirmed[uid] = Release(uid, cause, now, office_id)
+            release = self.unconfirmed[office_id, uid] = Release(uid, cause, now, office_id)
         return release
 
-    def confirm(self, uid: str) -> bool:
+    def confirm(self, uid: str, office_id: int = 0) -> bool:
         """The far end sent `stopped`; returns whether a release was waiting for it."""
-        release = self.unconfirmed.get(uid)
+        release = self.unconfirmed.get((office_id, uid))
         if release is None:
             return False
         self._remove(release)
@@ -78,7 +79,7 @@
         self._remove(release)
 
     def _remove(self, release: Release) -> None:
-        del self.unconfirmed[release.uid]
+        del self.unconfirmed[release.office_id, release.uid]
 
 
 class CallerReleases(Releases):
--- a/ospreybridge/access/server.py
+++ b/ospreybridge/access/server.py
@@ -89,7 +89,7 @@
         self.pool_by_connection: dict[int, ConnectionPool] = {}  # open connections and those being opened
         self.calls_by_ref: dict[int, Call] = {}  # calls that the controller's actions may refer to
         self.pending: dict[str, Call] = {}
-        self.established = EstablishedCalls()
+        self.established = EstablishedCalls(now)
         self.open_probes: dict[str, tuple[int, float]] = {}  # uid -> office, time sent
         self.events: deque[interface.Event] = deque()
         self.handling_events = False
@@ -263,6 +263,10 @@
             self._report_end(now, established, interface.Result.CANCELLED)
             self._send_office_releases(now, established.office_id)
             self._process_events(now)
+        elif self.established.release_unknown(now, message.uid, list(self.pools)):
+            self.counts["releases of unknown calls"] += 1
+            for office_id in self.pools:
+                self._send_office_releases(now, office_id)
         self._send(client.connection_id, Message(jsonl.STOPPED, message.uid))
 
     def _caller_left(self, now: float, call: Call) -> None:
@@ -365,7 +369,9 @@
 
     def _send_office_release(self, now: float, connection: OfficeConnection, release: Release) -> None:
         release.sent(now, connection.id)
-        connection.message_due(now)
+        if release.reply_due:  # `stopped` is optional: not asked for again on the next connection
+            release.reply_due = False
+            connection.message_due(now)
         self._send(connection.id, Message(jsonl.STOP, release.uid, {}, release.cause))
 
     # -- the controller
@@ -672,7 +678,7 @@
                     interface.Probed(office_id, result, now - sent_at, self._parse_load(message.meta))
                 )
         elif kind == jsonl.STOPPED:
-            self.established.to_offices.confirm(uid)
+            self.established.to_offices.confirm(uid, pool.office_id)
         elif kind == jsonl.CHECK:
             self._send(connection.id, Message(jsonl.CHECKED, uid, {}, 1))
         elif kind == jsonl.LAUNCH:
--- a/tests/test_established.py
+++ b/tests/test_established.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from ospreybridge.access.established import MAX_UNKNOWN_CALLS, UNKNOWN_CALLS_WINDOW_MS
 from ospreybridge.access.releases import MAX_AGE_MS, MAX_UNCONFIRMED, OfficeReleases
 from ospreybridge.signalling import causes, jsonl
 from ospreybridge.signalling.jsonl import Message
@@ -163,6 +164,56 @@
     assert not rig.server.established.to_offices.unconfirmed
 
 
+def test_callers_release_of_a_call_from_before_a_restart_reaches_its_office() -> None:
+    """Guards against a call left at its office because the restarted call server was not told of it."""
+    rig = Rig()
+    client = rig.connect_client()
+    uid = rig.new_uid()
+    for connection_id in list(rig.server.pools[OFFICE].connections):
+        rig.break_office_connection(connection_id)
+    rig.client_sends(client, Message(jsonl.STOP, uid, {}, causes.NORMAL_CLEARING))
+    rig.advance(200.0)
+    assert len(rig.messages_of(uid, client, jsonl.STOPPED)) == 1
+    assert office_told(rig, uid)[-1:] == [causes.NORMAL_CLEARING]
+    rig.office_sends(rig.office_connection(OFFICE), "stopped", uid)
+    assert not rig.server.established.to_offices.has_any(OFFICE)
+
+
+def test_office_that_confirms_no_release_costs_two_connections_at_most() -> None:
+    """Guards against connections opened one after the other, as `stopped` is optional."""
+    rig = Rig()
+    client = rig.connect_client()
+    uid, _ = rig.establish(client)
+    rig.advance(100.0)
+    before = set(rig.server.pools[OFFICE].connections)
+    rig.client_sends(client, Message(jsonl.STOP, uid, {}, causes.NORMAL_CLEARING))
+    opened: set[int] = set()
+    for _ in range(40):
+        rig.advance(100.0)
+        rig.server.pools[OFFICE].last_received = rig.now  # it is not silent: no test of liveness
+        opened |= set(rig.server.pools[OFFICE].connections) - before
+    assert len(opened) <= 2  # in place of the retired one, and after its close
+
+
+def test_callers_releases_of_unknown_calls_are_bounded_in_number_and_time() -> None:
+    """Guards against a client that makes the call server flood the offices."""
+    rig = Rig()
+    client = rig.connect_client()
+
+    def release_unknown() -> bool:
+        uid = rig.new_uid()
+        rig.client_sends(client, Message(jsonl.STOP, uid, {}, causes.NORMAL_CLEARING))
+        return bool(office_told(rig, uid))
+
+    assert [release_unknown() for _ in range(MAX_UNKNOWN_CALLS + 20)].count(True) == MAX_UNKNOWN_CALLS
+    late = Rig()
+    late_client = late.connect_client()
+    late.advance(UNKNOWN_CALLS_WINDOW_MS)
+    uid = late.new_uid()
+    late.client_sends(late_client, Message(jsonl.STOP, uid, {}, causes.NORMAL_CLEARING))
+    assert not office_told(late, uid) and late.server.established.to_offices.given_up == 0
+
+
 def test_unconfirmed_releases_are_bounded_in_age_and_number_and_counted() -> None:
     releases = OfficeReleases()
     for number in range(MAX_UNCONFIRMED + 5):
