Let the module answer pending calls at the end of a shutdown, in time for the deadline

Cause: _refuse_pending answered past the module, and the three phases were constants fitted to a deadline of 3 s.

--- a/ospreybridge/access/server.py
+++ b/ospreybridge/access/server.py
@@ -22,6 +22,7 @@
 from ospreybridge.access.offices import Office, OfficeList
 from ospreybridge.access.pool import ConnectionPool, OfficeConnection
 from ospreybridge.access.releases import Release
+from ospreybridge.access.shutdown import ShutdownPhases
 from ospreybridge.core.timers import TimerQueue
 from ospreybridge.policy import Controller
 from ospreybridge.settings.instance import read_report
@@ -36,10 +37,6 @@
 ANSWER_SLACK_MS = 50.0  # the platform itself allows this much beyond each time limit of its rules
 MAINTENANCE_INTERVAL_MS = 50.0
 MAX_DATAGRAM_BYTES = 256
-# The phases of a shutdown, in milliseconds after SIGTERM.
-STOP_ACCEPT_MS = 700.0  # until then new calls are served as usual
-STOP_ACCEPT_TRANSIT_MS = 2_500.0  # until then transit calls are served: other exchanges still send them
-STOP_FINAL_MS = 3_500.0  # pending calls are refused then, before the earliest possible SIGKILL
 NOTE_BY_WORD = {
     "no_path": interface.Note.NO_CIRCUIT,
     "sent_back": interface.Note.TURNED_BACK,
@@ -94,6 +91,7 @@
         self.events: deque[interface.Event] = deque()
         self.handling_events = False
         self.last_ref = self.last_connection_id = 0
+        self.shutdown_phases = ShutdownPhases.for_settings(self.settings)
         self.stopping_since: float | None = None  # time of SIGTERM
         self.finals: Counter[str] = Counter()
         self.counts: Counter[str] = Counter()
@@ -200,7 +198,7 @@
             set_up.transit,
         )
         self.calls_by_ref[call.ref] = self.pending[uid] = client.pending_calls[uid] = call
-        accept_ms = STOP_ACCEPT_TRANSIT_MS if set_up.transit else STOP_ACCEPT_MS
+        accept_ms = self.shutdown_phases.accept_transit if set_up.transit else self.shutdown_phases.accept
         if self.stopping_since is not None and now - self.stopping_since > accept_ms:
             self._send_final_stop(now, call, causes.CONGESTION, {})
             return
@@ -895,26 +893,18 @@
         if self.stopping_since is None:
             self.stopping_since = now
             self.log_event("stopping", pending=len(self.pending), standing=len(self.established))
-            self.timers.schedule(now + STOP_FINAL_MS, self._refuse_pending)
-
-    def _refuse_pending(self, now: float) -> None:
-        """Cancels the open attempts and refuses all calls that are still pending at the end of a shutdown."""
-        for call in list(self.pending.values()):
-            if call.open_attempt is not None and call.open_attempt.connection_id:
-                self._send(
-                    call.open_attempt.connection_id, Message(jsonl.STOP, call.uid, {}, causes.NORMAL_CLEARING)
-                )
-                self._detach_attempt(now, call.open_attempt)
-                call.open_attempt = None
-            self._send_final_stop(now, call, causes.CONGESTION, {})
-            self.events.append(interface.CallerLeft(call.ref))
+            self.timers.schedule(now + self.shutdown_phases.final, self._end_pending)
+
+    def _end_pending(self, now: float) -> None:
+        """Has the controller answer all calls that are still pending at the end of a shutdown."""
+        self.events.extend(interface.FinalAnswerDue(call.ref) for call in self.pending.values())
         self._process_events(now)
 
     def is_stopped(self, now: float) -> bool:
         """Whether the process may exit. It uses its whole time, as it goes on passing releases on."""
         return (
             self.stopping_since is not None
-            and now - self.stopping_since >= STOP_FINAL_MS
+            and now - self.stopping_since >= self.shutdown_phases.final
             and not self.pending
         )
 
--- a/ospreybridge/interface.py
+++ b/ospreybridge/interface.py
@@ -265,6 +265,13 @@
     ref: int
 
 
+@dataclass(frozen=True, slots=True)
+class FinalAnswerDue:
+    """Event: the host ends, so a call that is not established must get its final answer now."""
+
+    ref: int
+
+
 @dataclass(frozen=True, slots=True)
 class TimerExpired:
     """Event: a timer set by `StartTimer` expired."""
@@ -280,7 +287,17 @@
     body: bytes
 
 
-Event = Members | Request | Established | Outcome | Probed | CallerLeft | TimerExpired | PeerMessage
+Event = (
+    Members
+    | Request
+    | Established
+    | Outcome
+    | Probed
+    | CallerLeft
+    | FinalAnswerDue
+    | TimerExpired
+    | PeerMessage
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/ospreybridge/policy.py
+++ b/ospreybridge/policy.py
@@ -28,6 +28,7 @@
     Established,
     Event,
     Fail,
+    FinalAnswerDue,
     Layout,
     ListForm,
     Members,
@@ -198,6 +199,7 @@
             Probed: self._update_circuits,
             Members: self._on_members,
             CallerLeft: self._on_caller_left,
+            FinalAnswerDue: self._on_final_answer_due,
             TimerExpired: self._on_timer,
             PeerMessage: self._on_peer_message,
         }
@@ -482,6 +484,17 @@
         if call.sent_to is not None and self.settings.limits.cancel:
             self.actions.append(Cancel(event.ref, call.attempt_count - 1))
 
+    def _on_final_answer_due(self, now: float, event: FinalAnswerDue) -> None:
+        """Ends a call that its host can't serve any longer; an attempt that is out may have been executed."""
+        call = self.calls.get(event.ref)
+        if call is None or call.established:
+            return
+        if call.sent_to is not None:
+            call.maybe_executed = True
+            if self.settings.limits.cancel:
+                self.actions.append(Cancel(event.ref, call.attempt_count - 1))
+        self._refuse_or_fail(now, call)
+
     # -- routes
 
     def _worth(self, now: float, call: Call) -> float:
--- a/tests/test_access.py
+++ b/tests/test_access.py
@@ -13,7 +13,6 @@
 from ospreybridge.access.admission import FIRST_MESSAGE_TIMEOUT_MS, MAX_OPEN_PER_CLIENT, Admission
 from ospreybridge.access.feed import SILENCE_TIMEOUT_MS, JournalFeed
 from ospreybridge.access.pool import IDLE_TIMEOUT_MS, LOST_AFTER_MS, SPARE_CONNECTIONS
-from ospreybridge.access.server import STOP_ACCEPT_MS, STOP_ACCEPT_TRANSIT_MS, STOP_FINAL_MS
 from ospreybridge.signalling import causes, frames, jsonl
 from ospreybridge.signalling.errors import FrameError
 from ospreybridge.signalling.jsonl import Message
@@ -534,21 +533,22 @@
     client = rig.connect_client()
     held = rig.launch(client, left="3000")
     established, connection = rig.establish(client)
+    phases = rig.server.shutdown_phases
     rig.server.stop(rig.now)
-    rig.advance(STOP_ACCEPT_MS - 100.0)
+    rig.advance(phases.accept - 100.0)
     uid = rig.launch(client, dest=2)
     assert rig.messages_of(uid, kind="launch")
     rig.advance(200.0)
     assert stop_causes(rig.messages_of(rig.launch(client, dest=2), client)) == [causes.CONGESTION]
     rig.accept_dials()
     assert rig.messages_of(rig.launch(client, dest=2, words=";transit:1"), kind="launch")
-    rig.advance(STOP_ACCEPT_TRANSIT_MS - STOP_ACCEPT_MS)
+    rig.advance(phases.accept_transit - phases.accept)
     assert stop_causes(rig.messages_of(rig.launch(client, dest=2, words=";transit:1"))) == [causes.CONGESTION]
     rig.office_sends(connection, "stop", established, causes.NORMAL_CLEARING)
     assert stop_causes(rig.messages_of(established, client)) == [
         causes.NORMAL_CLEARING
     ] and not rig.server.is_stopped(rig.now)
-    rig.advance(STOP_FINAL_MS)
+    rig.advance(phases.final)
     assert (
         len(rig.messages_of(held, client)) == 1
         and len(rig.messages_of(uid, client)) == 1
