Release a call that is answered after its caller has left

What callers would see: where the settings don't allow set-ups to be cancelled (Limits.Cancel false), an answer to a set-up that its caller had given up was passed on all the same (rule 1: nothing goes out after the end), and the call stood with nobody to end it.

Cause: _attempt_answered did not look whether the call had ended. Found by reading while the end of set-ups was moved.

Change: such a call is released at its office, with the same repetition as any other release, and nothing goes to the caller.

Evidence: the new case of tests/test_established.py failed before.

--- a/ospreybridge/access/server.py
+++ b/ospreybridge/access/server.py
@@ -685,6 +685,9 @@
     def _attempt_answered(self, now: float, attempt: Attempt, message: Message) -> None:
         """Establishes the call and passes the answer to its client, unless the answer is too late."""
         call = attempt.call
+        if call.stage is Stage.ENDED:
+            self._answered_after_end(now, attempt)
+            return
         if now > call.expires_at + self.settings.rules.grace_to_answer + ANSWER_SLACK_MS:
             self._attempt_timed_out(now, attempt)
             return
@@ -715,8 +718,17 @@
             interface.Established(call.ref, attempt.number, attempt.office_id, now - attempt.started_at)
         )
 
+    def _answered_after_end(self, now: float, attempt: Attempt) -> None:
+        """The caller has left, and set-ups are not cancelled here: the call that now stands is released."""
+        self._end_attempt(now, attempt, interface.Result.CANCELLED)
+        self.established.to_offices.begin(now, attempt.call.uid, causes.NORMAL_CLEARING, attempt.office_id)
+        self._send_office_releases(now, attempt.office_id)
+
     def _answered_by_earlier_process(self, now: float, attempt: Attempt) -> None:
-        """The list told of the office's new start before this answer arrived: the call does not stand."""
+        """The list told of the office's new start before this answer arrived: the call does not stand.
+
+        Its `stop` is sent once, as the same id may be sent to the office again in a further attempt.
+        """
         self._send(attempt.connection_id, Message(jsonl.STOP, attempt.call.uid, {}, RESET_CAUSE))
         self._end_attempt(now, attempt, interface.Result.RESET)
 
--- a/tests/test_established.py
+++ b/tests/test_established.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+import copy
+
 import pytest
 
 from ospreybridge.access.established import MAX_UNKNOWN_CALLS, UNKNOWN_CALLS_WINDOW_MS
 from ospreybridge.access.releases import MAX_AGE_MS, MAX_UNCONFIRMED, OfficeReleases
 from ospreybridge.signalling import causes, jsonl
 from ospreybridge.signalling.jsonl import Message
-from tests.platform_rig import Rig, record
+from tests.platform_rig import SETTINGS, Rig, record
 
 OFFICE = 11
 
@@ -103,6 +105,22 @@
     assert office_told(rig, uid) == [causes.TEMPORARY_FAILURE]
 
 
+def test_answer_for_a_caller_that_left_where_set_ups_are_not_cancelled_is_released_at_the_office() -> None:
+    """Guards against an answer sent after the caller gave its set-up up, and a call that nobody holds."""
+    settings = copy.deepcopy(SETTINGS)
+    settings["Limits"]["Cancel"] = False
+    rig = Rig(settings=settings)
+    client = rig.connect_client()
+    uid = rig.launch(client)
+    connection = rig.set_up_connection(uid)
+    rig.client_sends(client, Message(jsonl.STOP, uid, {}, causes.NORMAL_CLEARING))
+    assert not office_told(rig, uid)
+    rig.office_sends(connection, "running", uid, body="an answer")
+    assert not rig.messages_of(uid, client, jsonl.RUNNING) and uid not in rig.server.established
+    assert office_told(rig, uid) == [causes.NORMAL_CLEARING]
+    assert not rig.server.calls_by_ref
+
+
 def test_start_that_lies_ahead_by_a_clock_that_is_fast_ends_no_later_calls() -> None:
     """Guards against calls cut for as long as the office's clock is ahead."""
     rig = Rig()
