Keep the module from dividing by zero after a list without any office

Cause: _usual_interval multiplies by the number of exchanges, and _cold_gap divides by the result.

Change: the number counts as one at least. With any exchange listed the figures are the same.

Evidence: the new test in tests/test_access.py failed before where the own exchange leaves too, and passes now; with the own exchange kept it passed before.

--- a/ospreybridge/policy.py
+++ b/ospreybridge/policy.py
@@ -521,9 +521,8 @@
 
         For the own exchange it is the interval between any two own set-ups.
         """
-        exchanges_per_send = (len(self.exchanges) if exchange is not self.own_processor else 1) / (
-            len(self.recent_sends) + 1
-        )
+        exchange_count = max(1, len(self.exchanges)) if exchange is not self.own_processor else 1
+        exchanges_per_send = exchange_count / (len(self.recent_sends) + 1)
         return min(
             SEND_HISTORY_MS,
             exchanges_per_send * min(SEND_HISTORY_MS, max(now - self.first_event_at, self.on_time)),
--- a/tests/test_access.py
+++ b/tests/test_access.py
@@ -505,6 +505,26 @@
     assert rig.server.office_list.last_number == 9 and set(rig.server.pools) == {12}
 
 
+@pytest.mark.parametrize("own_exchange_stays", [True, False])
+def test_list_that_becomes_empty_refuses_calls_until_offices_are_listed_again(
+    own_exchange_stays: bool,
+) -> None:
+    """Guards against a division by zero in the news of an office after an empty list."""
+    rig = Rig()
+    rig.apply_changes(2, *([record(10, 0)] if own_exchange_stays else []), kind=frames.FULL_LIST)
+    rig.apply_changes(3, record(11, 1, frames.REMOVED), record(99, 7, frames.REMOVED))
+    rig.apply_changes(4, record(11, 1, started=int(rig.now)))
+    rig.apply_changes(5, record(11, 1, frames.REMOVED))
+    uid = rig.launch(rig.connect_client())
+    rig.advance(600.0)
+    assert [message.kind for message in rig.messages_of(uid)] == [jsonl.STOP]
+    rig.apply_changes(6, record(10, 0), record(11, 1), kind=frames.FULL_LIST)
+    rig.accept_dials()
+    rig.office_sends(rig.office_connection(11), "usage", "", load="free:20;size:20")
+    rig.establish(rig.connect_client())
+    assert len(rig.server.established) == 1
+
+
 def test_journal_feed_detects_silence_and_backs_off() -> None:
     feed = JournalFeed(1)
     feed.connected(0.0)
