Refuse a number too large for a float by its key, in KDL and in the platform's JSON

Cause: kdl-py computes mantissa * 10.0 ** exponent, which raises OverflowError; int() of an infinite float does too, and neither is one of the faults that the readers collect.

Change: such a decimal is read as infinite, which every converter of the KDL reader refuses with line and key; the reader of the platform's settings refuses numbers outside the range of a float by their key.

Evidence: 7 new cases in tests/test_command.py and tests/test_platform_forms.py failed before.

--- a/ospreybridge/settings/instance.py
+++ b/ospreybridge/settings/instance.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import sys
 from collections.abc import Iterator
 from typing import Any
 
@@ -81,6 +82,8 @@
         return "true" if value else "false"
     if value is None:
         return ""
+    if isinstance(value, int | float) and not abs(value) <= sys.float_info.max:
+        raise ValueError(f"{path}: a number in the range of a float was expected")
     if isinstance(value, str | int | float):
         return str(value)
     raise ValueError(f"{path}: a plain value was expected")
@@ -91,7 +94,10 @@
 
 
 def _parse_count(text: str) -> int:
-    return int(float(text))
+    try:
+        return int(float(text))
+    except OverflowError:
+        raise ValueError("a whole number was expected") from None
 
 
 # Fields of the classes in interface.py: their key and the function that converts its text.
--- a/ospreybridge/settings/reader.py
+++ b/ospreybridge/settings/reader.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import bisect
+import math
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -13,7 +14,7 @@
 
 from kdl.errors import ParseError, ParseFragment
 from kdl.parsing import ParseConfig, Parser
-from kdl.types import Node
+from kdl.types import Decimal, Node
 
 from ospreybridge.settings.errors import SettingsError
 
@@ -94,7 +95,8 @@
     """A converter for whole numbers from `low` to `high`; 3.0 counts as whole."""
 
     def convert(value: Any) -> int:
-        is_whole = isinstance(value, int | float) and not isinstance(value, bool) and value == int(value)
+        is_number = isinstance(value, int | float) and not isinstance(value, bool)
+        is_whole = is_number and math.isfinite(value) and value == int(value)
         if not is_whole or not low <= value <= high:
             raise ValueError(f"a whole number from {low} to {high}")
         return int(value)
@@ -128,6 +130,14 @@
     return host, int(port)
 
 
+def _read_decimal(value: Decimal, fragment: ParseFragment) -> float:
+    """The value of a decimal number; infinite, which converters refuse, if it is too large for a float."""
+    try:
+        return float(value.value)
+    except OverflowError:
+        return math.copysign(math.inf, value.mantissa)
+
+
 class Reader:
     """Reads one file and collects its errors."""
 
@@ -155,8 +165,11 @@
             lines[id(node)] = bisect.bisect_right(line_starts, fragment._i)
             return node
 
+        config = ParseConfig(
+            nodeConverters={None: record_line}, valueConverters={(None, Decimal): _read_decimal}
+        )
         try:
-            document = Parser().parse(source, ParseConfig(nodeConverters={None: record_line}))
+            document = Parser().parse(source, config)
         except ParseError as error:
             position = f"{self.path}:{error.line}:{error.col}"
             raise SettingsError([f"{position}: not KDL: {error.msg.splitlines()[-1].strip()}"]) from None
--- a/tests/test_command.py
+++ b/tests/test_command.py
@@ -51,6 +51,8 @@
         (('prefix "372"', 'prefix "371"'), 3, "prefix"),
         (("deadline=9000", "deadline=9"), 7, "class deadline"),
         (('class "lookup"', 'class "look'), 7, "not KDL"),
+        (("context=12", "context=1e400"), 3, "peer context"),  # too large for a float
+        (("deadline=9000", "deadline=-1e400"), 7, "class deadline"),
     ],
 )
 def test_invalid_settings_report_line_and_key_and_start_nothing(
--- a/tests/test_platform_forms.py
+++ b/tests/test_platform_forms.py
@@ -170,6 +170,12 @@
         ("Rules", {"DrainGrace": -1.0}, "Rules.DrainGrace"),
         ("Rules", {"DrainGrace": "soon"}, "Rules.DrainGrace"),
         ("Limits", 5, ""),
+        # Too large for a float: the JSON reader turns them into infinity.
+        ("Limits", {"MostTries": 1e400}, "Limits.MostTries"),
+        ("Limits", {"DialTimeout": 1e400}, "Limits.DialTimeout"),
+        ("Limits", {"MostTries": 10**400}, "Limits.MostTries"),
+        ("Stats", {"Columns": [1e400]}, "Stats.Columns"),
+        ("Me", -1e400, "Me"),
     ],
 )
 def test_invalid_settings_are_refused_with_their_key(key: str, value: Any, named: str) -> None:
