Go on after a defect in the handler of a signal or in an event of the office list

Cause: the task that reads signals ended with the exception; its socket was collected while epoll still had it registered, and the next wait raised OSError 9.

Change: both are caught where they are called, reported as `task failed` with trace and counted; EventLoop.report_error is the one place that reports defects of tasks, timers and handlers.

Evidence: tests/test_access_sockets.py: the handler, the list event and SIGHUP with 1e400 and with 401 digits failed before.

--- a/ospreybridge/daemon/platform.py
+++ b/ospreybridge/daemon/platform.py
@@ -25,9 +25,7 @@
     def __init__(self, config: PlatformConfig, log: Log, log_calls: bool = False) -> None:
         self.config, self.log = config, log
         self.loop = EventLoop()
-        self.loop.on_task_error = lambda name, error: log(
-            "task failed", task=name, error=repr(error), exc_info=error
-        )
+        self.loop.on_task_error = self._report_error
         unix_offset_ms = time.time() * 1_000.0 - self.loop.now
         self.front = AccessFront(self.loop, config, unix_offset_ms, log, log if log_calls else None)
         self.server = self.front.server
@@ -47,6 +45,11 @@
         self.log("stopped", finals=dict(self.server.finals), counts=dict(self.server.counts))
         return 0
 
+    def _report_error(self, task: str, error: BaseException) -> None:
+        """Logs and counts a defect in a task, a timer or a signal's handler."""
+        self.server.counts["tasks failed"] += 1
+        self.log("task failed", task=task, error=repr(error), exc_info=error)
+
     def _log_figures(self) -> Task:
         """Logs the server's counters and each office's state regularly."""
         while True:
--- a/ospreybridge/fronts/access.py
+++ b/ospreybridge/fronts/access.py
@@ -217,7 +217,7 @@
         while data := (yield from stream.read()):
             try:
                 for frame in splitter.feed(data):
-                    self.server.apply_list_event(self.loop.now, frame)
+                    self._apply_list_event(frame)
                     self.journal_feed.frame_received(self.loop.now)
             except FrameError as error:
                 splitter.error = str(error)
@@ -226,6 +226,15 @@
                 break
         stream.close("reconnecting")
 
+    def _apply_list_event(self, frame: frames.Frame) -> None:
+        """Applies an event; FrameError if it is invalid. A defect is reported and ends nothing."""
+        try:
+            self.server.apply_list_event(self.loop.now, frame)
+        except FrameError:
+            raise
+        except Exception as caught:
+            self.loop.report_error("journal service", caught)
+
     def _watch_journal(self) -> Task:
         """Ends a connection to the journal service that has gone silent."""
         while True:
--- a/ospreybridge/net/loop.py
+++ b/ospreybridge/net/loop.py
@@ -62,10 +62,7 @@
         except TimedOut:
             return
         except Exception as caught:
-            # A defect in one task must not end the calls of others; it is reported.
-            if self.on_task_error is None:
-                raise
-            self.on_task_error(getattr(task, "__name__", "task"), caught)
+            self.report_error(getattr(task, "__name__", "task"), caught)
             return
         if callable(value):
             if self.worker is None:
@@ -81,6 +78,12 @@
         else:
             self.timers.schedule(self.now + value, lambda now: self._resume(task))
 
+    def report_error(self, where: str, error: Exception) -> None:
+        """Reports a defect, which must not end the calls of others; raises it if nobody takes reports."""
+        if self.on_task_error is None:
+            raise error
+        self.on_task_error(where, error)
+
     def _deliver_completions(self, worker: Worker) -> Task:
         """Resumes the tasks whose work on the thread is done."""
         while True:
@@ -147,10 +150,8 @@
                     self._update_registration(fd)
         try:
             self.timers.run_due(self.now)
-        except Exception as caught:  # as with a task; the remaining timers run in the next iteration
-            if self.on_task_error is None:
-                raise
-            self.on_task_error("timer", caught)
+        except Exception as caught:  # the remaining timers run in the next iteration
+            self.report_error("timer", caught)
         while self.pending_flushes:
             streams, self.pending_flushes = self.pending_flushes, []
             for stream in streams:
@@ -179,12 +180,18 @@
         for number in handlers:
             signal.signal(number, lambda *_: None)
 
+        def handle(number: int) -> None:
+            try:
+                handlers[number]()
+            except Exception as caught:
+                self.report_error(f"signal {signal.Signals(number).name}", caught)
+
         def read() -> Task:
             while True:
                 yield READ, receiver.fileno()
                 for number in receiver.recv(256):
                     if number in handlers:
-                        handlers[number]()
+                        handle(number)
                 _ = sender  # this reference keeps the socket open while the task runs
 
         self.spawn(read())
--- a/tests/test_access_sockets.py
+++ b/tests/test_access_sockets.py
@@ -204,6 +204,67 @@
         assert child.poll() is None
 
 
+@pytest.mark.parametrize("number", ["1e400", "1" + 400 * "0"])
+def test_sighup_with_a_number_too_large_for_a_float_changes_nothing(
+    world: World, tmp_path: Path, number: str
+) -> None:
+    """Guards against a process that ends as its configuration has such a number."""
+    path = tmp_path / "config.json"
+    with process(world, path) as (child, port):
+        text = path.read_text()
+        assert '"MostTries": 4' in text
+        path.write_text(text.replace('"MostTries": 4', f'"MostTries": {number}'))
+        child.send_signal(signal.SIGHUP)
+        world.until(lambda: b"Limits.MostTries" in path.with_suffix(".log").read_bytes())
+        caller = CallerStandIn(world.loop, port)
+        uid = world.set_up(caller)
+        world.until(lambda: caller.kinds(uid) == ["running"])
+        assert child.poll() is None
+
+
+def test_exception_in_a_list_event_is_reported_and_the_next_event_is_applied(world: World) -> None:
+    """Guards against a task that follows the journal service and ends with a defect."""
+    front = world.start_server()
+    reported: list[str] = []
+    world.loop.on_task_error = lambda name, error: reported.append(f"{name}: {error}")
+    apply_list_event = front.server.apply_list_event
+
+    def fail_once(now: float, frame: frames.Frame) -> None:
+        front.server.apply_list_event = apply_list_event  # type: ignore[method-assign]
+        raise ZeroDivisionError("a defect")
+
+    front.server.apply_list_event = fail_once  # type: ignore[method-assign]
+    world.journal.publish(frames.Frame(2, frames.CHANGES, (record(11, 1, frames.DRAINING),)))
+    world.until(lambda: bool(reported))
+    world.journal.publish(frames.Frame(3, frames.CHANGES, (record(11, 1),)))
+    world.until(lambda: front.server.office_list.last_number == 3)
+    assert reported == ["journal service: a defect"]
+
+
+def test_exception_in_a_signal_handler_is_reported_and_the_next_signal_is_handled() -> None:
+    """Guards against a task that reads signals and ends with a defect."""
+    loop = EventLoop()
+    reported: list[str] = []
+    handled: list[int] = []
+    loop.on_task_error = lambda name, error: reported.append(f"{name}: {error}")
+
+    def handle() -> None:
+        handled.append(signal.SIGUSR1)
+        if len(handled) == 1:
+            raise ZeroDivisionError("a defect")
+
+    loop.on_signals({signal.SIGUSR1: handle})
+    try:
+        for count in (1, 2):
+            signal.raise_signal(signal.SIGUSR1)
+            assert loop.run_until(lambda count=count: len(handled) == count, TIMEOUT_MS)  # type: ignore[misc]
+    finally:
+        signal.set_wakeup_fd(-1)
+        signal.signal(signal.SIGUSR1, signal.SIG_DFL)
+        loop.close()
+    assert reported == ["signal SIGUSR1: a defect"]
+
+
 def test_sigterm_with_calls_pending_answers_each_and_ends(world: World, tmp_path: Path) -> None:
     path = tmp_path / "config.json"
     with process(world, path) as (child, port):
