Bound the connections to offices per office and in all, tests of silence included

What was seen: a silent office got a new connection each second, also when the budget was used up; each stayed for 8 s. With 28 quiet offices and a limit of 256 the process held 232 descriptors without one client (review, no case); 256 offices wanted 2,048 connections.

Cause: liveness tests and the first connection to a listed office took no notice of the budget, and the idle ones that tests left behind had the time-out of those left by a burst.

Change: access/budget.py has the shares; what no set-up waits for is opened by reason (lost releases, spare, liveness), offices with calls first, then the longest silence. When all are in use, the connection elsewhere that was idle for longest is given back. After a test the older idle ones of that office are.

--- a/ospreybridge/access/pool.py
+++ b/ospreybridge/access/pool.py
@@ -12,10 +12,10 @@
 from collections import deque
 from random import Random
 
+from ospreybridge.access.budget import DialReason
 from ospreybridge.access.calls import Attempt
 from ospreybridge.access.recovery import ReleaseRecovery
 
-SPARE_CONNECTIONS = 2  # kept idle per office: one for its load updates, one for the next set-up
 IDLE_TIMEOUT_MS = 8_000.0  # idle connections beyond the spare ones are closed then
 RETIRED_LINGER_MS = 500.0  # a retired connection stays open for this time; releases may be lost on it
 CLOSE_TIMEOUT_MS = 1_000.0  # for the office to close a connection on which nothing more is sent
@@ -70,10 +70,13 @@
         self.last_received = now  # any message, or a new connection
         self.failures = 0
         self.next_dial_at = now
+        self.last_dial_at = now
         self.reporter_id, self.reported_at = 0, now  # the connection whose load updates are used
         self.last_load: str = ""  # the trunk group's state as last reported
         self.dial_refused = False  # the last dial was refused: no process is listening there
         self.recovery = ReleaseRecovery()
+        self.liveness_tests: set[int] = set()  # dials made because the office is silent
+        self.liveness_tested = False  # one of them has succeeded since idle connections were last reviewed
 
     def size(self) -> int:
         """Connections that are open or being opened."""
@@ -155,25 +158,34 @@
         One that was finished and then closed by its office has lost nothing.
         """
         self.dialling.pop(connection_id, None)
+        self.liveness_tests.discard(connection_id)
         connection = self.connections.pop(connection_id, None)
         if connection is not None and not connection.finished:
             # A connection opened before the office learns of the end would not bring what is lost until then.
             self.recovery.request(now + CLOSE_PROPAGATION_MS)
         return connection
 
-    def needs_connection(self, now: float, may_dial: bool, ready: bool, has_calls: bool) -> bool:
-        """Whether to open a connection although no attempt is waiting for one.
+    def wanted_connection(self, now: float, spare: int, ready: bool, has_calls: bool) -> DialReason | None:
+        """Why to open a connection although no attempt is waiting for one; None if there is no reason.
 
-        Spare ones are for offices that may get new calls (`ready`). A silent office gets one as a liveness
-        test: only a new connection tells a machine that vanished from one that has nothing to send, and it
-        costs the office's processor nothing. With established calls (`has_calls`) one is opened after another
-        was lost.
+        `spare` idle ones are for offices that may get new calls (`ready`). A silent office gets one as a
+        liveness test: only a new connection tells a machine that vanished from one that has nothing to send,
+        and it costs the office's processor nothing. With established calls (`has_calls`) one is opened after
+        another was lost.
         """
         if now < self.next_dial_at or self.dialling or not (ready or has_calls):
-            return False
-        spare = len(self.idle_connections()) < SPARE_CONNECTIONS and (ready or not self.connections)
-        recovery = has_calls and self.recovery.is_due(now)
-        return (may_dial and (spare or recovery)) or now - self.last_received >= LIVENESS_DIAL_AFTER_MS
+            return None
+        if has_calls and self.recovery.is_due(now):
+            return DialReason.RECOVERY
+        if len(self.idle_connections()) < spare and (ready or not self.connections):
+            return DialReason.SPARE
+        if now - self.last_received >= LIVENESS_DIAL_AFTER_MS:
+            return DialReason.LIVENESS
+        return None
+
+    def last_heard_or_tested(self) -> float:
+        """When the office was last heard of, or a connection to it last tried."""
+        return max(self.last_received, self.last_dial_at)
 
     def update_load(self, now: float, connection: OfficeConnection, load: str) -> bool:
         """Stores a trunk group's state if it is new; returns whether it is.
@@ -195,12 +207,14 @@
 
     def dial_started(self, now: float, connection_id: int) -> None:
         """Records a dial and delays the next one."""
-        self.dialling[connection_id] = now
+        self.dialling[connection_id] = self.last_dial_at = now
         self.next_dial_at = now + FIRST_RETRY_DELAY_MS
 
     def dial_succeeded(self, now: float, connection_id: int) -> OfficeConnection:
         """Adds the new connection; after failed dials the older ones are retired, as they may be dead."""
         started_at = self.dialling.pop(connection_id, now)
+        self.liveness_tested = self.liveness_tested or connection_id in self.liveness_tests
+        self.liveness_tests.discard(connection_id)
         for older_id in self.connections if self.failures else ():
             self.retire(older_id, now)
         self.recovery.connected(started_at)
@@ -211,6 +225,7 @@
     def dial_failed(self, now: float, connection_id: int, refused: bool) -> None:
         """Schedules the next dial with exponential, jittered delay."""
         self.dialling.pop(connection_id, None)
+        self.liveness_tests.discard(connection_id)
         self.dial_refused = refused
         delay = min(MAX_RETRY_DELAY_MS, FIRST_RETRY_DELAY_MS * 2.0**self.failures)
         self.failures = min(self.failures + 1, 16)
@@ -226,22 +241,29 @@
             return not self.connections or now - self.last_received >= REFUSAL_CONFIRMED_AFTER_MS
         return self.failures > 1 and now - self.last_received >= LOST_AFTER_MS
 
-    def finish_surplus_connections(self, now: float) -> list[int]:
+    def finish_surplus_connections(self, now: float, spare: int) -> list[int]:
         """Takes the connections that were idle for too long out of use.
 
         The server ends its sending direction of them and reads on, as a release may be on its way: the office
-        closes them when it has seen the end.
+        closes them when it has seen the end. After a liveness test the older ones go at once, or one would
+        be left over from each test of a quiet office.
         """
         idle = sorted(self.idle_connections(), key=lambda connection: -connection.idle_since)
         surplus = [
             connection
-            for connection in idle[SPARE_CONNECTIONS:]
-            if now - connection.idle_since >= IDLE_TIMEOUT_MS
+            for connection in idle[spare:]
+            if self.liveness_tested or now - connection.idle_since >= IDLE_TIMEOUT_MS
         ]
+        self.liveness_tested = False
         for connection in surplus:
-            connection.retired, connection.finished, connection.idle_since = True, True, now
+            self.finish_connection(now, connection.id)
         return [connection.id for connection in surplus]
 
+    def finish_connection(self, now: float, connection_id: int) -> None:
+        """Takes an idle connection out of use; the server ends its sending direction."""
+        connection = self.connections[connection_id]
+        connection.retired, connection.finished, connection.idle_since = True, True, now
+
     def expire_connections(self, now: float) -> list[int]:
         """The numbers of the connections out of use whose time is over, which the server closes."""
         expired = [
--- a/ospreybridge/access/server.py
+++ b/ospreybridge/access/server.py
@@ -17,6 +17,7 @@
 from ospreybridge import interface
 from ospreybridge.access import calls
 from ospreybridge.access.admission import Admission
+from ospreybridge.access.budget import ConnectionBudget, DialReason, WantedConnection
 from ospreybridge.access.calls import Attempt, Call, Client, Stage
 from ospreybridge.access.established import EstablishedCall, EstablishedCalls
 from ospreybridge.access.offices import Office, OfficeList
@@ -79,6 +80,7 @@
         self.random = Random(config.seed + 1)
         self.set_up_parser = calls.SetUpParser(self.settings)
         self.admission = Admission(config.sockets)
+        self.budget = ConnectionBudget(self.admission.max_office_connections)
         self.office_list = OfficeList(max(1, len(config.zones)), max(1, len(config.kinds)), unix_offset_ms)
         self.peer_numbers = {address: number for number, address in enumerate(config.peers)}
         self.clients: dict[int, Client] = {}
@@ -545,25 +547,29 @@
         """Sends waiting set-ups in order on free connections, or opens a connection for them."""
         while pool.waiting:
             connection, dial_needed = pool.choose_connection(
-                len(self.pool_by_connection) < self.admission.max_office_connections
+                self.budget.allows_at_office(len(self.pool_by_connection), pool.size())
             )
             if connection is not None:
                 self._send_attempt(now, pool, connection, pool.waiting.popleft())
             elif dial_needed:
                 self._dial(now, pool)
             else:
+                if not pool.dialling and not self.budget.allows(len(self.pool_by_connection)):
+                    self._make_room(now, pool)
                 return
 
     # -- offices
 
-    def _dial(self, now: float, pool: ConnectionPool) -> None:
-        """Starts to open a connection to the pool's office."""
+    def _dial(self, now: float, pool: ConnectionPool, reason: DialReason | None = None) -> None:
+        """Starts to open a connection to the pool's office; without a `reason`, for a set-up that waits."""
         office = self.office_list.by_id.get(pool.office_id)
         if office is None:
             return
         self.last_connection_id += 1
         connection_id = self.last_connection_id
         pool.dial_started(now, connection_id)
+        if reason is DialReason.LIVENESS:
+            pool.liveness_tests.add(connection_id)
         self.pool_by_connection[connection_id] = pool
         self.transport.dial(connection_id, office.address)
 
@@ -814,7 +820,8 @@
                 self._remove_office(now, office.id)
             elif office.cell != self.settings.own_exchange and office.id not in self.pools:
                 self.pools[office.id] = ConnectionPool(office.id, now, self.random)
-                self._dial(now, self.pools[office.id])
+                if self.budget.allows_spare(len(self.pool_by_connection)):
+                    self._dial(now, self.pools[office.id])
         self.log_event("list", number=frame.number, kind=frame.kind, entries=len(members.entries))
         self.events.append(members)
         self._process_events(now)
@@ -860,6 +867,8 @@
             for listed in self.office_list.by_id.values()
             if listed.readiness is not interface.Readiness.GONE
         }
+        spare = self.budget.spare_connections(len(self.pools))
+        wanted: list[WantedConnection] = []
         for pool in list(self.pools.values()):
             office = self.office_list.by_id[pool.office_id]
             gone = office.readiness is interface.Readiness.GONE
@@ -873,15 +882,17 @@
                 gone and office.address in used_addresses
             )
             ready = office.readiness is interface.Readiness.READY
-            if pool.needs_connection(
-                now, len(self.pool_by_connection) < self.admission.max_office_connections, ready, has_calls
-            ):
-                self._dial(now, pool)
+            reason = pool.wanted_connection(now, spare, ready, has_calls)
+            if reason is not None:
+                wanted.append(
+                    WantedConnection(reason, not has_calls, pool.last_heard_or_tested(), pool.office_id)
+                )
             self._check_office_lost(now, pool)
             for connection_id in pool.check_responses(now):
                 self._retire_connection(now, pool, connection_id)
-            self._close_unused_connections(now, pool)
+            self._close_unused_connections(now, pool, spare)
             self._serve_waiting(now, pool)
+        self._open_wanted(now, wanted)
         for client in self.admission.silent_clients(now, self.clients.values()):
             self.counts["clients mute"] += 1
             self.transport.close(client.connection_id, "no valid message in time")
@@ -891,12 +902,49 @@
         self.counts["releases given up"] = self.established.releases_given_up()
         self._process_events(now)
 
-    def _close_unused_connections(self, now: float, pool: ConnectionPool) -> None:
+    def _open_wanted(self, now: float, wanted: list[WantedConnection]) -> None:
+        """Opens the connections that no set-up waits for, as far as the budget allows."""
+        liveness_tests = sum(len(pool.liveness_tests) for pool in self.pools.values())
+        for connection in sorted(wanted):
+            open_count = len(self.pool_by_connection)
+            if connection.reason is DialReason.SPARE and not self.budget.allows_spare(open_count):
+                continue
+            if not self.budget.allows(open_count):
+                self._make_room(now, self.pools[connection.office_id])
+                return
+            if connection.reason is DialReason.LIVENESS:
+                if liveness_tests >= self.budget.max_liveness_tests:
+                    return
+                liveness_tests += 1
+            self._dial(now, self.pools[connection.office_id], connection.reason)
+
+    def _make_room(self, now: float, pool: ConnectionPool) -> None:
+        """Gives back the connection to another office that was idle for longest, as all are in use."""
+        connections = [
+            (connection, other)
+            for other in self.pools.values()
+            if other is not pool
+            for connection in other.connections.values()
+        ]
+        if any(connection.finished for connection, _ in connections):
+            return  # room is being made already
+        idle = [
+            (connection.idle_since, connection.id, other)
+            for connection, other in connections
+            if not connection.attempts and not connection.retired
+        ]
+        if idle:
+            _, connection_id, other = min(idle, key=lambda candidate: candidate[:2])
+            other.finish_connection(now, connection_id)
+            self._trace_connection("connection finished", other, connection_id, "for another office")
+            self.transport.finish(connection_id)
+
+    def _close_unused_connections(self, now: float, pool: ConnectionPool, spare: int) -> None:
         """Closes the connections out of use whose time is over; ends the idle ones beyond the spare ones."""
         for connection_id in pool.expire_connections(now):
             self.office_disconnected(now, connection_id, "out of use")
             self.transport.close(connection_id, "out of use")
-        for connection_id in pool.finish_surplus_connections(now):
+        for connection_id in pool.finish_surplus_connections(now, spare):
             self._trace_connection("connection finished", pool, connection_id, "idle")
             self.transport.finish(connection_id)
 
--- a/tests/test_access.py
+++ b/tests/test_access.py
@@ -11,8 +11,9 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from ospreybridge.access.admission import FIRST_MESSAGE_TIMEOUT_MS, MAX_OPEN_PER_CLIENT, Admission
+from ospreybridge.access.budget import SPARE_CONNECTIONS
 from ospreybridge.access.feed import SILENCE_TIMEOUT_MS, JournalFeed
-from ospreybridge.access.pool import IDLE_TIMEOUT_MS, LOST_AFTER_MS, SPARE_CONNECTIONS
+from ospreybridge.access.pool import IDLE_TIMEOUT_MS, LOST_AFTER_MS
 from ospreybridge.signalling import causes, frames, jsonl
 from ospreybridge.signalling.errors import FrameError
 from ospreybridge.signalling.jsonl import Message
--- a/tests/test_lost_releases.py
+++ b/tests/test_lost_releases.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from ospreybridge.access.pool import CLOSE_TIMEOUT_MS, IDLE_TIMEOUT_MS, SPARE_CONNECTIONS
+from ospreybridge.access.budget import SPARE_CONNECTIONS
+from ospreybridge.access.pool import CLOSE_TIMEOUT_MS, IDLE_TIMEOUT_MS
 from ospreybridge.signalling import causes, jsonl
 from ospreybridge.signalling.jsonl import Message
 from tests.platform_rig import Rig
