Leave circuits unblocked since out of a repeated group blocking

What was seen: by reading only (docs/ROADMAP.md): CGB was repeated as first sent until acknowledged, so it blocked again at the far end a circuit that a UBL had unblocked meanwhile; and a UBL was repeated over a later CGB in the same way.

Change: the range of a repeated CGB holds the circuits that are still blocked here, and it ends when none is. CGB ends the repetition of UBL for its circuits. _stop_repeating is the one place that cancels a repetition.

--- a/ospreybridge/core/supervision.py
+++ b/ospreybridge/core/supervision.py
@@ -147,9 +147,7 @@
         key = (group.peer_code, cic, kind)
         # A repeated BLO must not undo a later UBL, nor a repeated UBL a later BLO.
         for message_type in (isup.BLO, isup.UBL):
-            timer = self.pending_blockings.pop((group.peer_code, cic, message_type), None)
-            if timer is not None:
-                timer.cancel()
+            self._stop_repeating(group.peer_code, cic, message_type)
         self.pending_blockings[key] = self.server.timers.schedule(
             now + self.server.timer_settings.t12, self.send_blocking, group, cic, kind
         )
@@ -162,13 +160,21 @@
             self.send_group_blocking(now, group, first, count)
 
     def send_group_blocking(self, now: float, group: TrunkGroup, first: int, count: int) -> None:
-        """Sends CGB (BLO for one circuit) and repeats it until acknowledged."""
-        if group.peer_code not in self.server.links:
+        """Sends CGB (BLO for one circuit) and repeats it until acknowledged.
+
+        Circuits that were unblocked since the first one are left out: a repeated CGB must not undo their UBL.
+        """
+        self._stop_repeating(group.peer_code, first, isup.CGB)
+        status = [group.circuits[cic].locally_blocked for cic in range(first, first + count)]
+        if group.peer_code not in self.server.links or not any(status):
             return
         if count == 1:
             self.send_blocking(now, group, first, isup.BLO)
             return
-        octets = isup.encode_range_status(count, [True] * count)
+        for cic in range(first, first + count):  # nor may a repeated UBL undo this CGB
+            if group.circuits[cic].locally_blocked:
+                self._stop_repeating(group.peer_code, cic, isup.UBL)
+        octets = isup.encode_range_status(count, status)
         parameters = {isup.GROUP_SUPERVISION: isup.MAINTENANCE_ORIENTED, isup.RANGE_STATUS: octets}
         self.server.send(group.peer_code, IsupMessage(first, isup.CGB, parameters))
         key = (group.peer_code, first, isup.CGB)
@@ -222,7 +228,11 @@
         kind = {isup.BLA: isup.BLO, isup.UBA: isup.UBL, isup.CGBA: isup.CGB, isup.CGUA: isup.CGU}[
             message.type
         ]
-        timer = self.pending_blockings.pop((group.peer_code, message.cic, kind), None)
+        self._stop_repeating(group.peer_code, message.cic, kind)
+
+    def _stop_repeating(self, point_code: int, cic: int, kind: int) -> None:
+        """Cancels the repetition of BLO, UBL or CGB, if it is repeated."""
+        timer = self.pending_blockings.pop((point_code, cic, kind), None)
         if timer is not None:
             timer.cancel()
 
--- a/tests/test_circuits.py
+++ b/tests/test_circuits.py
@@ -422,3 +422,37 @@
     h.receive(2, IsupMessage(3, isup.UBA))
     h.advance(40_000)
     assert not h.take_sent(2)
+
+
+def blocked_by(message: IsupMessage) -> list[int]:
+    """The circuits that a CGB blocks."""
+    count, status = isup.decode_range_status(message.parameters[isup.RANGE_STATUS])
+    return [message.cic + offset for offset in range(count) if status[offset]]
+
+
+def test_a_repeated_group_blocking_leaves_out_the_circuits_unblocked_since(h: Harness) -> None:
+    """Guards against a repeated CGB that undoes a UBL at the far end."""
+    group = h.call_server.groups[2]
+    h.call_server.supervision.block_all(h.now, group)
+    assert blocked_by(take_one(h, 2, isup.CGB)) == [1, 2, 3, 4]
+    h.call_server.set_circuit_blocking(h.now, 2, 3, False)
+    h.receive(2, IsupMessage(3, isup.UBA))
+    h.take_sent(2)
+    h.advance(40_000)
+    repeated = [message for message in h.take_sent(2) if message.type == isup.CGB]
+    assert repeated and all(blocked_by(message) == [1, 2, 4] for message in repeated)
+    for cic in (1, 2, 4):
+        h.call_server.set_circuit_blocking(h.now, 2, cic, False)
+        h.receive(2, IsupMessage(cic, isup.UBA))
+    h.take_sent(2)
+    h.advance(40_000)
+    assert not h.take_sent(2) and group.free == 4
+
+
+def test_a_group_blocking_ends_the_repetition_of_an_earlier_unblocking(h: Harness) -> None:
+    """Guards against a repeated UBL that undoes a CGB at the far end."""
+    h.call_server.set_circuit_blocking(h.now, 2, 3, False)
+    h.call_server.supervision.block_all(h.now, h.call_server.groups[2])
+    h.take_sent(2)
+    h.advance(40_000)
+    assert {message.type for message in h.take_sent(2)} == {isup.CGB}
