Take the code of an ERR from the error, not from its text

Cause: the M3UA front looked for the word "version" in the text of a framing error to choose the code of the ERR that answers it.

Change: errors of the codecs carry their code, framing errors too; the text may change. The codes on the wire are as before.

--- a/ospreybridge/fronts/m3ua.py
+++ b/ospreybridge/fronts/m3ua.py
@@ -86,11 +86,7 @@
             try:
                 frames = self.splitter.feed(data)
             except FrameError as error:
-                self.send(
-                    m3ua.encode_error(
-                        m3ua.INVALID_VERSION if "version" in str(error) else m3ua.PROTOCOL_ERROR
-                    )
-                )
+                self.send(m3ua.encode_error(error.error_code))
                 front.counts["broken stream"] += 1
                 stream.flush()
                 stream.close(str(error))
--- a/ospreybridge/signalling/m3ua.py
+++ b/ospreybridge/signalling/m3ua.py
@@ -122,7 +122,7 @@
         while size - at >= 8:
             length = int.from_bytes(data[at + 4 : at + 8], "big")
             if data[at] != VERSION:
-                raise FrameError(f"version {data[at]} in the common header, not {VERSION}")
+                raise FrameError(f"version {data[at]} in the common header, not {VERSION}", INVALID_VERSION)
             if length < 8 or length > self.max_frame_bytes:
                 raise FrameError(f"length {length} in the common header, not 8 to {self.max_frame_bytes}")
             if at + length > size:
--- a/tests/test_signalling.py
+++ b/tests/test_signalling.py
@@ -170,3 +170,17 @@
         isup.encode(IsupMessage(4_096, isup.RLC))
     with pytest.raises(EncodeError):
         sccp.encode(sccp.PEER_SUBSYSTEM, b"x" * 255)
+
+
+@pytest.mark.parametrize(
+    ("header", "code"),
+    [
+        (b"\2\0\1\1\0\0\0\x08", m3ua.INVALID_VERSION),
+        (b"\1\0\1\1\0\0\0\x07", m3ua.PROTOCOL_ERROR),
+    ],
+)
+def test_framing_error_carries_the_code_of_its_err(header: bytes, code: int) -> None:
+    """Guards against a code that changes with the wording of an error."""
+    with pytest.raises(FrameError) as caught:
+        m3ua.Splitter().feed(header + b"\0" * 8)
+    assert caught.value.error_code == code
