Cut a frame in two when the scripted trouble half-frame stalls a link

Change: the last four octets of what reaches a stalled link first are withheld with all that follows, and delivered when it heals.

--- a/ospreybridge/lab/relay.py
+++ b/ospreybridge/lab/relay.py
@@ -30,6 +30,8 @@
 DOMAIN, SHARED_CREDENTIALS = "example.test", "everybody"
 HANDSHAKE_SLOTS = 4_096  # handshakes at once; enough that the relay never refuses one
 BUSY_TURN_MS = 10.0  # longer loop turns are recorded: frames that arrive during them get late timestamps
+# Withheld of the first frame on a stalled link; the shortest frame has 8 octets, so that one is cut in two.
+CUT_OCTETS = 4
 # Offsets in a DATA frame with a routing context: service indicator, CIC (two octets), ISUP message type.
 SERVICE_INDICATOR_OFFSET, CIC_OFFSET, MESSAGE_TYPE_OFFSET = 28, 32, 34
 
@@ -90,9 +92,16 @@
                 self._deliver(to, b"".join(forwarded))
 
     def _deliver(self, to: tcp.Stream, data: bytes) -> None:
-        if self.link.stalled:
-            self.held.append((to, data))
-        elif self.link.delay > 0:
+        if not self.link.stalled:
+            self._send(to, data)
+            return
+        if not any(stream is to for stream, _ in self.held):
+            self._send(to, data[:-CUT_OCTETS])
+            data = data[-CUT_OCTETS:]
+        self.held.append((to, data))
+
+    def _send(self, to: tcp.Stream, data: bytes) -> None:
+        if self.link.delay > 0:
             loop = self.relay.loop
             loop.timers.schedule(loop.now + self.link.delay, lambda now: to.write(data))
         else:
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import socket
 import time
 from pathlib import Path
 
@@ -279,6 +281,42 @@
         assert f.call_servers[1].finals["stands"] == 1 and len(f.call_servers[1].calls) == 1
 
 
+@pytest.mark.parametrize("delay", [0.0, 20.0])
+def test_a_stalled_link_cuts_a_frame_in_two_and_delivers_the_rest_later(tmp_path: Path, delay: float) -> None:
+    """Guards against the trouble half-frame holding whole frames back."""
+    created = relay.Relay(tmp_path / "tap", 1)
+    link = created.links[1, 2] = relay.Link(created, 1, 2, delay, 0)
+    frames = [m3ua.encode(m3ua.BEAT, [(m3ua.HEARTBEAT_DATA, bytes(16))]) for _ in range(4)]
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        created.ports[2] = server.getsockname()[1]
+        with socket.create_connection(("127.0.0.1", link.port)) as near:
+            created.loop.run_until(lambda: link.connection is not None, 5_000.0)
+            far = server.accept()[0]
+            far.setblocking(False)
+            received = b""
+
+            def arrived(count: int) -> bool:
+                nonlocal received
+                with contextlib.suppress(BlockingIOError):
+                    received += far.recv(4_096)
+                return len(received) >= count
+
+            near.send(frames[0])
+            assert created.loop.run_until(lambda: arrived(len(frames[0])), 5_000.0)
+            created.execute({"do": "stall", "a": 1, "b": 2})
+            near.send(frames[1] + frames[2])
+            whole = len(frames[0] + frames[1])
+            assert created.loop.run_until(lambda: arrived(whole + 1), 5_000.0)
+            near.send(frames[3])
+            assert not created.loop.run_until(lambda: arrived(whole + len(frames[2])), 100.0)
+            created.execute({"do": "heal", "a": 1, "b": 2})
+            assert created.loop.run_until(lambda: arrived(len(b"".join(frames))), 5_000.0)
+            assert received == b"".join(frames)
+            far.close()
+    created.tap.close()
+    created.loop.close()
+
+
 def test_the_relay_reads_cic_message_type_and_service_indicator_from_a_frame() -> None:
     message = isup.IsupMessage(0x123, isup.RLC)
     frame = m3ua.encode_data(m3ua.Data(1, 2, m3ua.SI_ISUP, 2, 0, 3, isup.encode(message), 9))
