Leave stops of the process out of the clock that judges a thousand refused handshakes

Cause, as traced before: the handshakes under way at a stop run into their time limit of 2 s, at both ends, and count as not finished.

Change: the loop of that test runs on a clock that moves by 0.25 s at most between two readings, so that time for which the process did not run counts for no time limit of either end. Counts, bound (600 s) and clients' time (2 s) are as they were: still 1,000 wrong names by the server's own count, none without a slot, four channels.

--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -5,6 +5,7 @@
 import os
 import socket
 import ssl
+import time
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -19,6 +20,7 @@
 from ospreybridge.net import tcp, tls
 from ospreybridge.net.loop import Task
 from ospreybridge.signalling import m3ua
+from tests.clocks import ClockWithoutStops
 from tests.fleet import Fleet, connect, fleet, standin_contexts
 from tests.test_sockets import answered, closed_by_peer
 
@@ -159,8 +161,36 @@
         listener.close()
 
 
+class StoppingClock:
+    """The machine's clock, with a stop of 2.5 s of the process when `stop` is called."""
+
+    def __init__(self) -> None:
+        self.stopped_s = 0.0
+
+    def __call__(self) -> float:
+        return time.monotonic() + self.stopped_s
+
+    def stop(self) -> None:
+        self.stopped_s += 2.5
+
+
+def test_a_stop_of_the_process_refuses_no_handshake(tmp_path: Path) -> None:
+    """Guards the test of a thousand wrong names against a stop of the machine, which ended ten handshakes."""
+    base = StoppingClock()
+    with fleet(tmp_path, size=2, tls_options="", clock=ClockWithoutStops(base)) as f:
+        context = unchecked_context(tmp_path, issue_bad_certificate(f, FailureReason.WRONG_NAME))
+        results: list[str] = []
+        for _ in range(10):
+            connect_repeatedly(f, context, f.ports[1], results, 3)
+        for finished in (5, 15):
+            f.run_until(lambda n=finished: len(results) >= n)  # type: ignore[misc]
+            base.stop()
+        f.run_until(lambda: len(results) == 30)
+        assert f.fronts[1].counts["tls wrong name"] == 30
+
+
 def test_a_thousand_wrong_names_are_refused_while_calls_go_on(tmp_path: Path) -> None:
-    with fleet(tmp_path, size=2, tls_options="") as f:
+    with fleet(tmp_path, size=2, tls_options="", clock=ClockWithoutStops()) as f:
         context = unchecked_context(tmp_path, issue_bad_certificate(f, FailureReason.WRONG_NAME))
         results: list[str] = []
         for _ in range(10):
