Move the reading of offices' messages and the log's figures out of the platform's server

What an office's `stop` and load report mean is in access/office_messages.py, with a typed end of an attempt in place of a tuple; the figures of the log line are a typed record in access/figures.py.

--- a/ospreybridge/access/server.py
+++ b/ospreybridge/access/server.py
@@ -20,13 +20,13 @@
 from ospreybridge.access.budget import ConnectionBudget, DialReason, WantedConnection
 from ospreybridge.access.calls import Attempt, Call, Client, Stage
 from ospreybridge.access.established import EstablishedCall, EstablishedCalls
+from ospreybridge.access.office_messages import interpret_stop, parse_load
 from ospreybridge.access.offices import Office, OfficeList
 from ospreybridge.access.pool import ConnectionPool, OfficeConnection
 from ospreybridge.access.releases import Release
 from ospreybridge.access.shutdown import ShutdownPhases
 from ospreybridge.core.timers import TimerQueue
 from ospreybridge.policy import Controller
-from ospreybridge.settings.instance import read_report
 from ospreybridge.settings.platform import Address, PlatformConfig
 from ospreybridge.signalling import causes, frames, jsonl
 from ospreybridge.signalling.errors import MessageError
@@ -34,20 +34,9 @@
 
 REFUSAL_CAUSES = (causes.NO_CIRCUIT, causes.CONGESTION, causes.TIMER_EXPIRY)  # safe to retry
 RESET_CAUSE = causes.TEMPORARY_FAILURE  # sent by an office for a set-up or call that was cut
-MOOT_CAUSE = causes.TIMER_EXPIRY  # sent by an office for a set-up that it never passed on
 ANSWER_SLACK_MS = 50.0  # the platform itself allows this much beyond each time limit of its rules
 MAINTENANCE_INTERVAL_MS = 50.0
 MAX_DATAGRAM_BYTES = 256
-NOTE_BY_WORD = {
-    "no_path": interface.Note.NO_CIRCUIT,
-    "sent_back": interface.Note.TURNED_BACK,
-    "end_queue_long": interface.Note.TURNED_BACK,
-    "queue_long": interface.Note.PROCESSOR_FULL,
-    "line_taken": interface.Note.LINES_BUSY,
-}
-# Reported as the wait of an `end_queue_long` that gives none: by a wait above 0 the controller knows that the
-# far processor is overloaded rather than out of circuits.
-REMOTE_BUSY_WAIT_MS = 1.0
 
 
 class Transport(Protocol):
@@ -526,7 +515,9 @@
             # that was never taken: without the last load the controller would count it as taken.
             pool = self.pools.get(attempt.office_id)
             report = (
-                self._parse_load({"load": pool.last_load}) if pool is not None and pool.last_load else None
+                parse_load(self.config.report_columns, {"load": pool.last_load})
+                if pool is not None and pool.last_load
+                else None
             )
         self.counts[f"attempts {result.name.lower()}"] += 1
         self.events.append(
@@ -671,7 +662,7 @@
         if self.trace is not None:
             self._trace_message(frames.office_name(pool.office_id), connection.id, message)
         if kind == jsonl.USAGE:
-            report = self._parse_load(message.meta)
+            report = parse_load(self.config.report_columns, message.meta)
             if report is not None and pool.update_load(now, connection, str(message.meta["load"])):
                 self.events.append(interface.Probed(pool.office_id, interface.Result.OK, 0.0, report))
         elif kind == jsonl.RUNNING:
@@ -689,7 +680,9 @@
             if office_id == pool.office_id:
                 result = interface.Result.OK if message.reason == 1 else interface.Result.ERROR
                 self.events.append(
-                    interface.Probed(office_id, result, now - sent_at, self._parse_load(message.meta))
+                    interface.Probed(
+                        office_id, result, now - sent_at, parse_load(self.config.report_columns, message.meta)
+                    )
                 )
         elif kind == jsonl.STOPPED:
             self.established.to_offices.confirm(uid, pool.office_id)
@@ -753,12 +746,12 @@
     ) -> None:
         """Ends an attempt or an established call at the office's request."""
         uid, cause = message.uid, message.reason
-        report = self._parse_load(message.meta)
+        report = parse_load(self.config.report_columns, message.meta)
         attempt = connection.attempts.get(uid)
         if attempt is not None:
-            result, note, wait = self._interpret_stop(message)
+            end = interpret_stop(message)
             attempt.call.last_cause = cause
-            self._end_attempt(now, attempt, result, note, wait, report)
+            self._end_attempt(now, attempt, end.result, end.note, end.wait, report)
             return
         self._send(connection.id, Message(jsonl.STOPPED, uid))
         if uid in self.pending:
@@ -770,32 +763,6 @@
             release = self.established.to_callers.begin(now, uid, cause)
             self._send_caller_release(now, release, call.client_id)
 
-    def _interpret_stop(self, message: Message) -> tuple[interface.Result, interface.Note, float]:
-        """The result, note and wait (milliseconds) in an office's `stop` for an unanswered set-up."""
-        cause, meta = message.reason, message.meta
-        note = NOTE_BY_WORD.get(str(meta.get("note", "")), interface.Note.NONE)
-        wait = max(0.0, jsonl.parse_number(meta["waited"], "waited")) if "waited" in meta else 0.0
-        if meta.get("note") == "end_queue_long":
-            wait = max(wait, REMOTE_BUSY_WAIT_MS)
-        if cause == causes.NO_CIRCUIT:
-            return interface.Result.FULL, note, wait
-        if cause in (causes.USER_BUSY, causes.RESOURCE_UNAVAILABLE):
-            return interface.Result.ERROR, note, wait
-        if cause == MOOT_CAUSE:
-            return interface.Result.MOOT, note, wait
-        return interface.Result.RESET, note, wait
-
-    def _parse_load(self, meta: dict[str, jsonl.Value]) -> interface.Report | None:
-        """The load report in a message, if it has one; columns that it leaves out stay unknown."""
-        load = jsonl.parse_extras(meta.get("load"))
-        if not load:
-            return None
-        values = tuple(
-            jsonl.parse_number(load[column], column) if column in load else -1.0
-            for column in self.config.report_columns
-        )
-        return read_report(self.config.report_columns, values)
-
     def _probe(self, now: float, office_id: int) -> None:
         """Sends a `check` to an office for the controller; the reply or a time-out is reported as Probed."""
         pool = self.pools.get(office_id)
@@ -978,29 +945,6 @@
             and not self.pending
         )
 
-    def office_figures(self, now: float) -> dict[str, dict[str, Any]]:
-        """By office name, the controller's state beside what was counted here, to log and compare."""
-        figures = {}
-        for office_id, pool in self.pools.items():
-            exchange = self.controller.exchanges.get(office_id)
-            open_attempts = sum(len(connection.attempts) for connection in pool.connections.values()) + len(
-                pool.waiting
-            )
-            figures[frames.office_name(office_id)] = {
-                "state": exchange.readiness.name if exchange else "GONE",
-                "cell": exchange.number if exchange else -1,
-                "free": exchange.free if exchange else None,
-                "told": pool.last_load,
-                "window": round(exchange.window, 2) if exchange else None,
-                "pending": len(exchange.unanswered) if exchange else 0,
-                "out": open_attempts,
-                "standing": self.established.count_at(office_id),
-                "links": len(pool.connections),
-                "heard": round(now - pool.last_received),
-                "failures": pool.failures,
-            }
-        return figures
-
     # -- sending and logging
 
     def _send(self, connection_id: int, message: Message) -> None:
--- a/ospreybridge/daemon/platform.py
+++ b/ospreybridge/daemon/platform.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
+from ospreybridge.access.figures import office_figures
 from ospreybridge.fronts.access import AccessFront
 from ospreybridge.net.loop import EventLoop, Task
 from ospreybridge.settings.errors import SettingsError
@@ -64,7 +65,9 @@
                 late=round(self.loop.timers.lateness.peak_ms, 1),
                 finals=dict(server.finals),
                 counts=dict(server.counts),
-                offices=server.office_figures(self.loop.now),
+                offices=office_figures(
+                    self.loop.now, server.pools, server.controller.exchanges, server.established
+                ),
             )
 
     def stop(self) -> None:
--- a/tests/test_access.py
+++ b/tests/test_access.py
@@ -13,6 +13,7 @@
 from ospreybridge.access.admission import FIRST_MESSAGE_TIMEOUT_MS, MAX_OPEN_PER_CLIENT, Admission
 from ospreybridge.access.budget import SPARE_CONNECTIONS
 from ospreybridge.access.feed import SILENCE_TIMEOUT_MS, JournalFeed
+from ospreybridge.access.figures import office_figures
 from ospreybridge.access.pool import IDLE_TIMEOUT_MS, LOST_AFTER_MS
 from ospreybridge.signalling import causes, frames, jsonl
 from ospreybridge.signalling.errors import FrameError
@@ -582,7 +583,10 @@
     client = rig.connect_client()
     rig.launch(client)
     rig.establish(client)
-    figures = rig.server.office_figures(rig.now)["s-0000000b"]
+    server = rig.server
+    figures = office_figures(rig.now, server.pools, server.controller.exchanges, server.established)[
+        "s-0000000b"
+    ]
     assert (figures["pending"], figures["out"], figures["standing"], figures["free"]) == (1, 1, 1, 18.0)
     assert figures["told"] == "free:20;size:20"
 
