--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 	.venv/bin/pip install -q -r requirements-dev.txt -e .
 	touch .venv/ready
 
-.PHONY: run test
+.PHONY: run test explore
 run: .venv/ready
 	.venv/bin/ospreybridge day examples/bad-day.kdl --json bad-day.json
 
@@ -15,3 +15,7 @@
 	.venv/bin/ruff format --check .
 	.venv/bin/mypy
 	$(PY) -m pytest
+
+# Orders of events at the platform's call server, for longer than `make test`: make explore MINUTES=30 SEED=7
+explore: .venv/ready
+	$(PY) -m tests.exploration --minutes $(or $(MINUTES),10) --seed $(or $(SEED),1000)
