--- a/review/lib2/stand.py
+++ b/review/lib2/stand.py
@@ -211,6 +211,7 @@
         self.times: dict[int, float] = {}  # event -> time at which it was in the service (ms)
         self.turn_after_s = 0.0  # a crowded service: how long a call server waits for its turn
         self.asked: list[float] = []
+        self.empty_frame_at = 0.0  # time of the last one (ms)
         self.followers: set[asyncio.StreamWriter] = set()
 
     def add(self, *members: dict[str, Any]) -> int:
@@ -263,6 +264,7 @@
         try:
             while not ended.done():
                 writer.write(struct.pack(">IQB", 9, len(self.events), 0))
+                self.empty_frame_at = self.record.ms()
                 await asyncio.wait([ended], timeout=1.0)
         finally:
             self.followers.discard(writer)
