--- a/review/6/case.py
+++ b/review/6/case.py
@@ -33,15 +33,18 @@
     ]
     for client in bad:
         client.quiet, client.confirms = True, False
+    in_use = list(callers)
     for step in range(100):  # 10 s, 20 calls a second
         if step == 8:
             floods = [misbehave(stage, number, client) for number, client in enumerate(bad)]
             for client, flood in zip(bad, floods, strict=True):
                 client.writer.write(flood)
         for index in range(2):
-            caller = callers[(step + index) % len(callers)]
-            if caller.closed_at is None:
-                caller.launch(f"2{step:07x}{index:08x}", 1 + (step + index) % 4, LEFT_MS)
+            place = (step + index) % len(in_use)
+            if in_use[place].closed_at is not None:  # a caller whose connection ended opens another one
+                in_use[place] = await stage.caller(f"caller {len(callers)}")
+                callers.append(in_use[place])
+            in_use[place].launch(f"2{step:07x}{index:08x}", 1 + (step + index) % 4, LEFT_MS)
         await asyncio.sleep(0.1)
     await asyncio.sleep(LEFT_MS / 1000.0 + 0.6)
     told = sum(any(entry[1]["kind"] == "stop" for entry in each) for c in bad for each in c.received.values())
@@ -57,7 +60,7 @@
             lost.append(uid)
             state = "an office had it" if uid in forwarded else "no office had it"
             stage.record(f"{caller.name}: {uid} has no answer ({state})")
-    ended = [caller.name for caller in callers if caller.closed_at is not None]
+    ended = sum(caller.closed_at is not None for caller in callers)
     stage.record(
         f"lost: {len(lost)} of {sum(len(c.sent) for c in callers)} calls; connections ended: {ended}"
     )
