--- a/review/lib2/stand.py
+++ b/review/lib2/stand.py
@@ -514,12 +514,16 @@
 
 async def _play(case: Callable[[Stage], Awaitable[bool]], folder: Path, record: Record) -> int:
     stage = Stage(folder, record)
+    this_task = asyncio.current_task()
+    assert this_task is not None
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        asyncio.get_running_loop().add_signal_handler(number, this_task.cancel)
     try:
         await stage.open()
         held = await asyncio.wait_for(case(stage), TIME_LIMIT_S)
         record("the rule held" if held else "the rule was broken")
         return HELD if held else BROKEN
-    except (CannotRun, TimeoutError, OSError) as error:
+    except (CannotRun, TimeoutError, OSError, asyncio.CancelledError) as error:
         record(f"could not run: {error!r}")
         return NOT_RUN
     finally:
