Release a restored call whose office started anew around the restart

Cause: _restore_established looked only whether the office is in the list. A restored call ended with the next start that became known, but the start was known already, from the configuration or from the list before the call was named.

Change: the office list records when the present process of an office started and when the list told of it, also for the events of the configuration. A restored call ends at once, at both sides, if the process before this one may not have known of that start: told since this start, or less than 12 s before it (8 s away, news 4 s late). The start alone shows which process may have answered, so no live call of an older process is cut.

--- a/ospreybridge/access/established.py
+++ b/ospreybridge/access/established.py
@@ -23,6 +23,9 @@
 # start: the calls may have been established before it, and not been reported yet.
 UNKNOWN_CALLS_WINDOW_MS = 30_000.0
 MAX_UNKNOWN_CALLS = 500  # in that time
+# Before this process started: a start of an office since then may not have been known to the process before
+# this one. Call servers are away for up to 8 s, and starts become known up to 4 s late.
+UNKNOWN_STARTS_MS = 12_000.0
 
 
 @dataclass(slots=True, eq=False)
@@ -43,6 +46,7 @@
 
     def __init__(self, now: float) -> None:
         """`now`: the start of this process."""
+        self._started_at = now
         self._unknown_calls_until = now + UNKNOWN_CALLS_WINDOW_MS
         self._unknown_calls = 0
         self.to_callers = CallerReleases()
@@ -81,6 +85,15 @@
         self._calls[call.uid] = call
         self._by_office.setdefault(call.office_id, {})[call.uid] = call
 
+    def may_predate(self, process_since: float, process_known_since: float) -> bool:
+        """Whether a restored call may have been answered by a process of its office before the present one.
+
+        A restored call was established before this process started. An office's start that the process
+        before this one knew of has ended the earlier calls already; one that it may not have known of ends
+        them now.
+        """
+        return process_since > self._started_at - UNKNOWN_STARTS_MS or process_known_since > self._started_at
+
     def take_early_release(self, uid: str) -> int | None:
         """The cause of an office's release that came before the caller named the call, if one did."""
         return self._early_releases.pop(uid, None)
@@ -119,7 +132,7 @@
 
     def lost_with_office(self, now: float, office_id: int) -> list[EstablishedCall]:
         """Ends all calls at an office that counts as lost."""
-        return [self._lost(now, call) for call in list(self._by_office.get(office_id, {}).values())]
+        return [self.lose(now, call) for call in list(self._by_office.get(office_id, {}).values())]
 
     def lost_by_start(self, now: float, office_id: int, started_at: float) -> list[EstablishedCall]:
         """Ends the calls of the processes that ran at an office before the one started at `started_at`.
@@ -128,12 +141,12 @@
         answered, so it ends.
         """
         return [
-            self._lost(now, call)
+            self.lose(now, call)
             for call in list(self._by_office.get(office_id, {}).values())
             if call.sent_at < started_at
         ]
 
-    def _lost(self, now: float, call: EstablishedCall) -> EstablishedCall:
+    def lose(self, now: float, call: EstablishedCall) -> EstablishedCall:
         """Ends a call that counts as lost; both sides are told, as the office may hold it all the same."""
         self._remove(call)
         self.to_callers.begin(now, call.uid, causes.TEMPORARY_FAILURE)
--- a/ospreybridge/access/offices.py
+++ b/ospreybridge/access/offices.py
@@ -33,6 +33,7 @@
     started_at: float  # milliseconds of the loop's clock; 0: long ago
     readiness_since: float  # when the present readiness was learnt
     process_since: float = -math.inf  # set-ups sent before went to an earlier process than the present one
+    process_known_since: float = -math.inf  # when the list told of the present process
 
 
 class OfficeList:
@@ -72,25 +73,25 @@
         )
         office = self.by_id.get(record.id)
         if office is None:
-            office = self.by_id[record.id] = Office(
-                record.id,
-                record.cell,
-                (record.address, record.port),
-                interface.Readiness.READY,
-                started_at,
-                0.0,
-            )
+            address = (record.address, record.port)
+            office = Office(record.id, record.cell, address, interface.Readiness.READY, 0.0, 0.0)
+            self.by_id[record.id] = office
         if record.state != frames.REMOVED:
             office.cell, office.address = record.cell, (record.address, record.port)
             if started_at != office.started_at:
-                # A start that seems to lie ahead, as clocks differ, is not later than the news of it.
-                office.started_at, office.process_since = started_at, min(started_at, now)
+                self._set_process(now, office, started_at)
         self._set_readiness(now, office, READINESS_BY_STATE[record.state])
         weight = record.weight / WEIGHT_SCALE
         return interface.Entry(
             record.id, office.cell, record.zone, office.readiness, office.started_at, record.kind, weight
         )
 
+    def _set_process(self, now: float, office: Office, started_at: float) -> None:
+        """Records the start of an office's present process."""
+        office.started_at, office.process_known_since = started_at, now
+        # A start that seems to lie ahead, as clocks differ, is not later than the news of it.
+        office.process_since = min(started_at, now)
+
     def _set_readiness(self, now: float, office: Office, readiness: interface.Readiness) -> None:
         if office.readiness is not readiness:
             office.readiness, office.readiness_since = readiness, now
--- a/ospreybridge/access/server.py
+++ b/ospreybridge/access/server.py
@@ -225,18 +225,28 @@
     def _restore_established(self, now: float, client: Client, uid: str, office_id: int) -> None:
         """Registers a call that a caller reports as established, after a restart of this process.
 
-        It is released instead if it ended meanwhile, if its office is gone, or if there are too many calls.
+        It is released instead if it ended meanwhile, if its office is gone or may have started again since,
+        or if there are too many calls.
         """
         self._mark_valid(now, client)
         cause = self.established.take_early_release(uid)
-        if cause is None and (office_id not in self.office_list.by_id or self.established.is_full()):
+        office = self.office_list.by_id.get(office_id)
+        if cause is None and (office is None or self.established.is_full()):
             cause = RESET_CAUSE
         if cause is not None:
             release = self.established.to_callers.begin(now, uid, cause)
             self._send_caller_release(now, release, client.connection_id)
             return
-        self.established.add(EstablishedCall(uid, office_id, client.connection_id))
+        call = EstablishedCall(uid, office_id, client.connection_id)
+        self.established.add(call)
         self.counts["told to stand"] += 1
+        if office is not None and self.established.may_predate(
+            office.process_since, office.process_known_since
+        ):
+            self.counts["told to stand, lost by a start"] += 1
+            self._tell_lost(now, self.established.lose(now, call))
+            self._send_office_releases(now, office_id)
+            self._process_events(now)
 
     def _handle_caller_stop(self, now: float, client: Client, message: Message) -> None:
         """Ends a call for its caller: a pending one only on its own connection, an established one on any."""
@@ -332,11 +342,15 @@
             "standing calls lost", office=frames.office_name(office_id), calls=len(lost), reason=reason
         )
         for call in lost:
-            self._report_end(now, call, interface.Result.RESET)
-            release = self.established.to_callers.begin(now, call.uid, RESET_CAUSE)
-            self._send_caller_release(now, release, call.client_id)
+            self._tell_lost(now, call)
         self._send_office_releases(now, office_id)
 
+    def _tell_lost(self, now: float, call: EstablishedCall) -> None:
+        """Reports a lost call to the controller and its caller."""
+        self._report_end(now, call, interface.Result.RESET)
+        release = self.established.to_callers.begin(now, call.uid, RESET_CAUSE)
+        self._send_caller_release(now, release, call.client_id)
+
     def _end_office_calls(self, now: float, office_id: int, reason: str) -> None:
         """Ends all calls established at a lost office and retires the connections to it."""
         for connection_id in self.pools[office_id].connections if office_id in self.pools else ():
--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -99,8 +99,8 @@
 class Rig:
     """The server's Transport. Cell 0 is the own exchange; offices 11 and 12 (cells 1, 2) have 20 circuits."""
 
-    def __init__(self, **more: Any) -> None:
-        self.now = 1_000.0
+    def __init__(self, start: float = 1_000.0, **more: Any) -> None:
+        self.now = start
         self.timers = TimerQueue()
         self.sent_messages: list[tuple[int, Message]] = []  # connection, message
         self.open_dials: dict[int, Address] = {}
--- a/tests/test_established.py
+++ b/tests/test_established.py
@@ -3,14 +3,15 @@
 from __future__ import annotations
 
 import copy
+from typing import Any
 
 import pytest
 
-from ospreybridge.access.established import MAX_UNKNOWN_CALLS, UNKNOWN_CALLS_WINDOW_MS
+from ospreybridge.access.established import MAX_UNKNOWN_CALLS, UNKNOWN_CALLS_WINDOW_MS, UNKNOWN_STARTS_MS
 from ospreybridge.access.releases import MAX_AGE_MS, MAX_UNCONFIRMED, OfficeReleases
 from ospreybridge.signalling import causes, jsonl
 from ospreybridge.signalling.jsonl import Message
-from tests.platform_rig import SETTINGS, Rig, record
+from tests.platform_rig import SETTINGS, Rig, member, record
 
 OFFICE = 11
 
@@ -142,6 +143,45 @@
     assert office_told(rig, uid) == [causes.TEMPORARY_FAILURE]
 
 
+def known_start(started: float) -> dict[str, Any]:
+    """The list of a configuration in which the office has started at some time."""
+    members = [member(10, 0), member(OFFICE, 1, up_since_ms=int(started)), member(12, 2)]
+    return {"pos": 1, "entries": [{"pos": 1, "hosts": {"complete": True, "members": members}}]}
+
+
+@pytest.mark.parametrize("before_ms", [0.0, 700.0, 9_000.0])
+def test_call_named_after_a_start_that_the_configuration_tells_of_is_released(before_ms: float) -> None:
+    """Guards against a cut call that is never released: its office started anew meanwhile (case 10)."""
+    rig = Rig(start=100_000.0, known=known_start(100_000.0 - before_ms))
+    client = rig.connect_client()
+    uid = rig.launch(client, words=";at:s-0000000b")
+    assert told(rig, uid, client) == [causes.TEMPORARY_FAILURE]
+    assert office_told(rig, uid) == [causes.TEMPORARY_FAILURE]
+    assert uid not in rig.server.established
+
+
+@pytest.mark.parametrize("late_ms", [0.0, 50_000.0])
+def test_call_named_after_a_start_told_since_the_restart_is_released(late_ms: float) -> None:
+    """Guards against a cut call that is never released: the list told of the start before it was named."""
+    rig = Rig(start=100_000.0)
+    client = rig.connect_client()
+    rig.advance(100.0)
+    listed_start(rig, 2, rig.now - late_ms)
+    uid = rig.launch(client, words=";at:s-0000000b")
+    assert told(rig, uid, client) == [causes.TEMPORARY_FAILURE]
+    assert office_told(rig, uid) == [causes.TEMPORARY_FAILURE]
+
+
+@pytest.mark.parametrize("started", [0.0, 100_000.0 - UNKNOWN_STARTS_MS])
+def test_call_at_an_office_that_started_long_before_the_restart_is_kept(started: float) -> None:
+    """Guards against live calls cut by a start that the process before this one knew of."""
+    rig = Rig(start=100_000.0, known=known_start(started))
+    client = rig.connect_client()
+    uid = rig.launch(client, words=";at:s-0000000b")
+    rig.advance(1_000.0)
+    assert uid in rig.server.established and not told(rig, uid, client) and not office_told(rig, uid)
+
+
 @pytest.mark.parametrize("reset", ["before", "after"])
 def test_callers_release_reaches_the_office_through_resets_of_all_connections(reset: str) -> None:
     """Guards against a release that its caller hears confirmed and its office never gets (review case 3)."""
