Keep bad clients' reports of calls and bursts of releases off sound connections

Cause: each such report began a release that was repeated on the most trusted connection, a sound caller's, and Stream.write closed a connection on which over 256 KiB were queued in one pass, before the socket had been offered any of it.

Change: a report that is refused is answered on its own connection; the release goes elsewhere only if that one ends, 1,000 kept, 50 a pass. Releases to callers and to offices wait while 64 KiB are queued on the connection, and are found by indexes rather than by a search of all. A stream flushes before it counts the peer as one that does not read.

--- a/ospreybridge/access/established.py
+++ b/ospreybridge/access/established.py
@@ -14,7 +14,7 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
-from ospreybridge.access.releases import CallerReleases, OfficeReleases
+from ospreybridge.access.releases import MAX_REFUSED_REPORTS, CallerReleases, OfficeReleases, Releases
 from ospreybridge.signalling import causes
 
 MAX_ESTABLISHED = 20_000  # each takes a few hundred octets
@@ -50,6 +50,7 @@
         self._unknown_calls_until = now + UNKNOWN_CALLS_WINDOW_MS
         self._unknown_calls = 0
         self.to_callers = CallerReleases()
+        self.refused_reports = Releases(MAX_REFUSED_REPORTS)  # of calls that could not be restored
         self.to_offices = OfficeReleases()
         self._calls: dict[str, EstablishedCall] = {}
         self._by_office: dict[int, dict[str, EstablishedCall]] = {}
@@ -73,9 +74,26 @@
         return office_id in self._by_office or self.to_offices.has_any(office_id)
 
     def releases_given_up(self) -> int:
-        """The number of releases, in both directions, that were never confirmed."""
+        """The number of releases, in both directions, that were never confirmed.
+
+        Those of calls that could not be restored don't count: anybody can report calls.
+        """
         return self.to_callers.given_up + self.to_offices.given_up
 
+    def confirmed_by_caller(self, uid: str) -> bool:
+        """A caller sent `stopped`; returns whether a release was waiting for it."""
+        return self.to_callers.confirm(uid) or self.refused_reports.confirm(uid)
+
+    def client_disconnected(self, connection_id: int) -> None:
+        """The releases sent on a client's connection that ended are to be sent on another one."""
+        self.to_callers.connection_closed(connection_id)
+        self.refused_reports.connection_closed(connection_id)
+
+    def expire_releases(self, now: float) -> None:
+        """Gives up the releases, in both directions, that are too old."""
+        for releases in (self.to_callers, self.refused_reports, self.to_offices):
+            releases.expire(now)
+
     def is_full(self) -> bool:
         """Whether no further call may be restored."""
         return len(self._calls) >= MAX_ESTABLISHED
@@ -98,6 +116,11 @@
         """The cause of an office's release that came before the caller named the call, if one did."""
         return self._early_releases.pop(uid, None)
 
+    def refuse_report(self, now: float, uid: str, cause: int, client_id: int) -> None:
+        """Records the release of a reported call that isn't restored; it is sent to that client now."""
+        release = self.refused_reports.begin(now, uid, cause, client_id=client_id)
+        self.refused_reports.sent(now, release, client_id)
+
     def released_by_caller(self, now: float, uid: str) -> EstablishedCall | None:
         """Ends a call for its caller; its office has to be told. None if there is no such call."""
         call = self._calls.get(uid)
@@ -127,7 +150,7 @@
         if call.office_id != office_id:
             return None
         self._remove(call)
-        self.to_callers.begin(now, uid, cause)
+        self.to_callers.begin(now, uid, cause, client_id=call.client_id)
         return call
 
     def lost_with_office(self, now: float, office_id: int) -> list[EstablishedCall]:
@@ -149,7 +172,7 @@
     def lose(self, now: float, call: EstablishedCall) -> EstablishedCall:
         """Ends a call that counts as lost; both sides are told, as the office may hold it all the same."""
         self._remove(call)
-        self.to_callers.begin(now, call.uid, causes.TEMPORARY_FAILURE)
+        self.to_callers.begin(now, call.uid, causes.TEMPORARY_FAILURE, client_id=call.client_id)
         self.to_offices.begin(now, call.uid, causes.TEMPORARY_FAILURE, call.office_id)
         return call
 
--- a/ospreybridge/access/server.py
+++ b/ospreybridge/access/server.py
@@ -23,7 +23,13 @@
 from ospreybridge.access.office_messages import interpret_stop, parse_load
 from ospreybridge.access.offices import Office, OfficeList
 from ospreybridge.access.pool import ConnectionPool, OfficeConnection
-from ospreybridge.access.releases import Release
+from ospreybridge.access.releases import (
+    MAX_BACKLOG_BYTES,
+    MAX_REFUSED_REPORT_REPEATS,
+    ClientChoice,
+    Release,
+    Releases,
+)
 from ospreybridge.access.shutdown import ShutdownPhases
 from ospreybridge.core.timers import TimerQueue
 from ospreybridge.policy import Controller
@@ -44,6 +50,7 @@
 
     def dial(self, connection_id: int, address: Address) -> None: ...
     def send(self, connection_id: int, data: bytes) -> None: ...
+    def unsent_bytes(self, connection_id: int) -> int: ...
     def finish(self, connection_id: int) -> None: ...
     def close(self, connection_id: int, reason: str) -> None: ...
     def send_datagram(self, destination: Address, body: bytes) -> None: ...
@@ -81,6 +88,7 @@
         self.open_probes: dict[str, tuple[int, float]] = {}  # uid -> office, time sent
         self.events: deque[interface.Event] = deque()
         self.handling_events = False
+        self.sending_releases = False
         self.last_ref = self.last_connection_id = 0
         self.shutdown_phases = ShutdownPhases.for_settings(self.settings)
         self.stopping_since: float | None = None  # time of SIGTERM
@@ -127,7 +135,7 @@
             self._mark_valid(now, client)
             self._send(connection_id, Message(jsonl.CHECKED, message.uid, {}, 1))
         elif message.kind == jsonl.STOPPED:
-            if self.established.to_callers.confirm(message.uid):
+            if self.established.confirmed_by_caller(message.uid):
                 client.trust = calls.TRUST_SERVED
         elif message.kind == jsonl.STAGING:
             pass
@@ -147,14 +155,15 @@
             return
         for call in list(client.pending_calls.values()):
             self._caller_left(now, call)
-        self._send_due_releases(now, connection_id)
+        self.established.client_disconnected(connection_id)
+        self._send_new_releases(now)
         self._process_events(now)
 
     def _mark_valid(self, now: float, client: Client) -> None:
         """Records a client's first valid message; releases that had no client to go to are sent now."""
         if client.trust == calls.TRUST_UNKNOWN:
             client.trust = calls.TRUST_VALID_MESSAGE
-            self._send_due_releases(now)
+            self._send_new_releases(now)
 
     def _handle_set_up(self, now: float, client: Client, message: Message) -> None:
         """Validates a set-up and passes it to the controller, or answers it at once."""
@@ -234,8 +243,8 @@
         if cause is None and (office is None or self.established.is_full()):
             cause = RESET_CAUSE
         if cause is not None:
-            release = self.established.to_callers.begin(now, uid, cause)
-            self._send_caller_release(now, release, client.connection_id)
+            self.established.refuse_report(now, uid, cause, client.connection_id)
+            self._send(client.connection_id, Message(jsonl.STOP, uid, {}, cause))
             return
         call = EstablishedCall(uid, office_id, client.connection_id)
         self.established.add(call)
@@ -244,7 +253,8 @@
             office.process_since, office.process_known_since
         ):
             self.counts["told to stand, lost by a start"] += 1
-            self._tell_lost(now, self.established.lose(now, call))
+            self._report_end(now, self.established.lose(now, call), interface.Result.RESET)
+            self._send_new_releases(now)
             self._send_office_releases(now, office_id)
             self._process_events(now)
 
@@ -342,15 +352,10 @@
             "standing calls lost", office=frames.office_name(office_id), calls=len(lost), reason=reason
         )
         for call in lost:
-            self._tell_lost(now, call)
+            self._report_end(now, call, interface.Result.RESET)
+        self._send_new_releases(now)
         self._send_office_releases(now, office_id)
 
-    def _tell_lost(self, now: float, call: EstablishedCall) -> None:
-        """Reports a lost call to the controller and its caller."""
-        self._report_end(now, call, interface.Result.RESET)
-        release = self.established.to_callers.begin(now, call.uid, RESET_CAUSE)
-        self._send_caller_release(now, release, call.client_id)
-
     def _end_office_calls(self, now: float, office_id: int, reason: str) -> None:
         """Ends all calls established at a lost office and retires the connections to it."""
         for connection_id in self.pools[office_id].connections if office_id in self.pools else ():
@@ -359,28 +364,66 @@
 
     # -- releases
 
-    def _send_due_releases(self, now: float, closed_id: int = 0) -> None:
-        """Sends the releases to callers that are due, also those sent on a connection that just closed."""
-        for release in self.established.to_callers.due(now, closed_id):
-            self._send_caller_release(now, release)
+    def _send_new_releases(self, now: float) -> None:
+        """Sends the releases to callers that are on no open connection."""
+        self._send_caller_releases(now, self.established.to_callers, self.established.to_callers.unsent())
+
+    def _repeat_releases(self, now: float) -> None:
+        """Sends releases that are on no open connection, in both directions, or were not confirmed."""
+        self._send_new_releases(now)
+        to_callers, refused = self.established.to_callers, self.established.refused_reports
+        self._send_caller_releases(now, to_callers, to_callers.unanswered(now))
+        self._send_caller_releases(now, refused, refused.unsent(limit=MAX_REFUSED_REPORT_REPEATS))
+        for office_id in self.established.to_offices.offices_with_unsent():
+            self._send_office_releases(now, office_id)
+
+    def _send_caller_releases(self, now: float, releases: Releases, due: list[Release]) -> None:
+        """Sends releases to callers as far as their connections take them; the others stay due.
 
-    def _send_caller_release(self, now: float, release: Release, connection_id: int = 0) -> None:
-        """Sends a release to its caller: on the given connection if usable, else on another one."""
-        client = self.established.to_callers.choose_client(now, release, connection_id, self.clients)
-        if client is not None:
-            self._send(client.connection_id, Message(jsonl.STOP, release.uid, {}, release.cause))
+        A connection that ends meanwhile leaves its releases to the next pass.
+        """
+        if self.sending_releases or not due:
+            return
+        self.sending_releases = True
+        try:
+            choice = ClientChoice(self.clients, self._has_room)
+            for release in due:
+                if not releases.is_unconfirmed(release):
+                    continue
+                client = choice.client_for(release)
+                if client is None:
+                    return
+                releases.sent(now, release, client.connection_id)
+                self._send(client.connection_id, Message(jsonl.STOP, release.uid, {}, release.cause))
+        finally:
+            self.sending_releases = False
+
+    def _has_room(self, client: Client) -> bool:
+        """Whether a client's connection takes one more release."""
+        return self.transport.unsent_bytes(client.connection_id) < MAX_BACKLOG_BYTES
+
+    def _send_office_releases(
+        self, now: float, office_id: int, connection: OfficeConnection | None = None
+    ) -> None:
+        """Sends the releases to an office that are on no open connection, as far as it takes them.
 
-    def _send_office_releases(self, now: float, office_id: int) -> None:
-        """Sends the releases to an office that are on no open connection, as soon as there is one."""
+        `connection`: the one to use; by default any of the office, if there is one.
+        """
         pool = self.pools.get(office_id)
-        connection = pool.any_connection() if pool is not None else None
+        if connection is None and pool is not None:
+            connection = pool.any_connection()
         if pool is None or connection is None:
             return
-        for release in self.established.to_offices.unsent(office_id, pool.connections):
-            self._send_office_release(now, connection, release)
+        releases = self.established.to_offices
+        for release in releases.unsent(office_id):
+            is_full = self.transport.unsent_bytes(connection.id) >= MAX_BACKLOG_BYTES
+            if is_full or connection.id not in pool.connections:
+                return
+            if releases.is_unconfirmed(release):
+                self._send_office_release(now, connection, release)
 
     def _send_office_release(self, now: float, connection: OfficeConnection, release: Release) -> None:
-        release.sent(now, connection.id)
+        self.established.to_offices.sent(now, release, connection.id)
         if release.reply_due:  # `stopped` is optional: not asked for again on the next connection
             release.reply_due = False
             connection.message_due(now)
@@ -596,8 +639,8 @@
         connection = pool.dial_succeeded(now, connection_id)
         self.counts["office connections opened"] += 1
         self._trace_connection("connection opened", pool, connection_id)
-        for release in self.established.to_offices.of_office(pool.office_id):
-            self._send_office_release(now, connection, release)
+        self.established.to_offices.repeat(pool.office_id)
+        self._send_office_releases(now, pool.office_id, connection)
         self._serve_waiting(now, pool)
         self._process_events(now)
 
@@ -662,6 +705,7 @@
         self.counts["office connections ended"] += 1
         self._trace_connection("connection ended", pool, connection_id, reason)
         connection = pool.connection_ended(now, connection_id)
+        self.established.to_offices.connection_closed(connection_id)
         for attempt in list(connection.attempts.values()) if connection is not None else ():
             attempt.call.doubtful_offices.add(attempt.office_id)
             self._end_attempt(now, attempt, interface.Result.RESET)
@@ -774,8 +818,7 @@
         if call is not None:
             result = interface.Result.OK if cause == causes.NORMAL_CLEARING else interface.Result.RESET
             self._report_end(now, call, result, report)
-            release = self.established.to_callers.begin(now, uid, cause)
-            self._send_caller_release(now, release, call.client_id)
+            self._send_new_releases(now)
 
     def _probe(self, now: float, office_id: int) -> None:
         """Sends a `check` to an office for the controller; the reply or a time-out is reported as Probed."""
@@ -888,8 +931,8 @@
             self.counts["clients mute"] += 1
             self.transport.close(client.connection_id, "no valid message in time")
             self.client_disconnected(now, client.connection_id)
-        self._send_due_releases(now)
-        self.established.to_offices.expire(now)
+        self.established.expire_releases(now)
+        self._repeat_releases(now)
         self.counts["releases given up"] = self.established.releases_given_up()
         self._process_events(now)
 
--- a/ospreybridge/fronts/access.py
+++ b/ospreybridge/fronts/access.py
@@ -139,6 +139,11 @@
         if stream is not None:
             stream.write(data)
 
+    def unsent_bytes(self, connection_id: int) -> int:
+        """Octets queued on a connection that its socket has not accepted yet."""
+        stream = self.streams.get(connection_id)
+        return stream.unsent_bytes if stream is not None else 0
+
     def finish(self, connection_id: int) -> None:
         """Ends the sending direction of a connection; what the peer sends is read until it closes."""
         stream = self.streams.get(connection_id)
--- a/ospreybridge/net/tcp.py
+++ b/ospreybridge/net/tcp.py
@@ -51,6 +51,8 @@
         self.has_written = True
         self.unsent.append(data)
         self.unsent_bytes += len(data)
+        if self.unsent_bytes > self.max_unsent_bytes and not self.blocked:
+            self.flush()  # much written at once says nothing about the peer: only a full socket does
         if self.unsent_bytes > self.max_unsent_bytes:
             # A peer that does not read must not use up the memory that the calls of other peers need.
             self.close("the peer does not read")
--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -107,6 +107,7 @@
         self.closed: dict[int, str] = {}
         self.finished: list[int] = []  # connections whose sending direction was ended
         self.offices_close_finished = True  # as soon as they see the end
+        self.backlog: dict[int, int] = {}  # octets that a connection's socket has not accepted
         self.datagrams: list[tuple[Address, bytes]] = []
         self.log_events: list[str] = []
         self.trace_events: list[tuple[str, dict[str, Any]]] = []
@@ -140,6 +141,9 @@
         elif message.kind == jsonl.STOP and self.open_attempts.get(message.uid) == connection_id:
             del self.open_attempts[message.uid]
 
+    def unsent_bytes(self, connection_id: int) -> int:
+        return self.backlog.get(connection_id, 0)
+
     def close(self, connection_id: int, reason: str) -> None:
         self.closed[connection_id] = reason
         self._drop_attempts(connection_id)
