Drop set-ups of clients that have left, and set up each id only once

Cause: what had been read was handled before the end of the connection could be seen, and nothing remembered the ids of ended calls.

Change: a stream tells whether its peer has ended its sending direction (POLLRDHUP); a client that has is treated as gone, its unread set-ups are dropped, its releases count. Ids of calls that ended and may have taken effect are remembered for 10 s: a set-up under one fails, a report of one is answered by a release.

--- a/ospreybridge/access/calls.py
+++ b/ospreybridge/access/calls.py
@@ -60,6 +60,7 @@
     open_attempt: Attempt | None = None
     attempt_count: int = 0
     last_cause: int = 0  # release cause of the latest attempt
+    may_have_run: bool = False  # an attempt that was sent may have taken effect at its office
     # Offices that may have answered an attempt whose connection ended before the answer could be read.
     doubtful_offices: set[int] = field(default_factory=set)
 
@@ -73,6 +74,7 @@
     last_active: float
     pending_calls: dict[str, Call] = field(default_factory=dict)  # by uid
     trust: int = 0  # one of the TRUST_ values
+    has_left: bool = False  # it sends nothing more; what it sent before may be unread
 
 
 @dataclass(frozen=True, slots=True)
--- a/ospreybridge/access/server.py
+++ b/ospreybridge/access/server.py
@@ -23,6 +23,7 @@
 from ospreybridge.access.office_messages import interpret_stop, parse_load
 from ospreybridge.access.offices import Office, OfficeList
 from ospreybridge.access.pool import ConnectionPool, OfficeConnection
+from ospreybridge.access.recent import RecentCalls
 from ospreybridge.access.releases import (
     MAX_BACKLOG_BYTES,
     MAX_REFUSED_REPORT_REPEATS,
@@ -32,7 +33,7 @@
 )
 from ospreybridge.access.shutdown import ShutdownPhases
 from ospreybridge.core.timers import TimerQueue
-from ospreybridge.policy import Controller
+from ospreybridge.policy import NOT_EXECUTED_RESULTS, Controller
 from ospreybridge.settings.platform import Address, PlatformConfig
 from ospreybridge.signalling import causes, frames, jsonl
 from ospreybridge.signalling.errors import MessageError
@@ -85,6 +86,7 @@
         self.calls_by_ref: dict[int, Call] = {}  # calls that the controller's actions may refer to
         self.pending: dict[str, Call] = {}
         self.established = EstablishedCalls(now)
+        self.recent_calls = RecentCalls()
         self.open_probes: dict[str, tuple[int, float]] = {}  # uid -> office, time sent
         self.events: deque[interface.Event] = deque()
         self.handling_events = False
@@ -142,6 +144,20 @@
         else:
             self.client_unreadable(now, connection_id, f"{message.kind}: not a message of a caller")
 
+    def client_leaving(self, now: float, connection_id: int) -> None:
+        """A client has closed its connection, of which some is still unread.
+
+        Its pending calls end, and set-ups that are read from now on are dropped: nobody waits for their
+        answers. Whatever else it sent counts, as an end of a call belongs to no connection.
+        """
+        client = self.clients.get(connection_id)
+        if client is None or client.has_left:
+            return
+        client.has_left = True
+        for call in list(client.pending_calls.values()):
+            self._caller_left(now, call)
+        self._process_events(now)
+
     def client_unreadable(self, now: float, connection_id: int, reason: str) -> None:
         """Closes a client's connection after invalid input: what follows can't be trusted."""
         self.counts["clients unreadable"] += 1
@@ -180,6 +196,13 @@
         if set_up.current_office is not None:
             self._restore_established(now, client, uid, set_up.current_office)
             return
+        if client.has_left:
+            self.counts["set-ups of clients that left"] += 1
+            return
+        if self.recent_calls.contains(now, uid):
+            self.counts["set-ups under the id of an ended call"] += 1
+            self._send(client.connection_id, Message(jsonl.STOP, uid, {}, RESET_CAUSE))
+            return
         if not self.admission.accepts_set_up(client, len(self.pending)):
             self.counts["over the most open"] += 1
             self._send(client.connection_id, Message(jsonl.STOP, uid, {}, causes.CONGESTION))
@@ -234,11 +257,13 @@
     def _restore_established(self, now: float, client: Client, uid: str, office_id: int) -> None:
         """Registers a call that a caller reports as established, after a restart of this process.
 
-        It is released instead if it ended meanwhile, if its office is gone or may have started again since,
+        It is released instead if it has ended, if its office is gone or may have started again since,
         or if there are too many calls.
         """
         self._mark_valid(now, client)
         cause = self.established.take_early_release(uid)
+        if cause is None and self.recent_calls.contains(now, uid):
+            cause = RESET_CAUSE
         office = self.office_list.by_id.get(office_id)
         if cause is None and (office is None or self.established.is_full()):
             cause = RESET_CAUSE
@@ -298,6 +323,8 @@
         """
         call.stage, call.body = Stage.ENDED, None
         self.pending.pop(call.uid, None)
+        if call.may_have_run or (call.open_attempt is not None and call.open_attempt.connection_id):
+            self.recent_calls.add(now, call.uid)
         client = self.clients.get(call.client_id)
         if client is not None:
             client.pending_calls.pop(call.uid, None)
@@ -336,6 +363,7 @@
     ) -> None:
         """Counts the end of an established call and reports it to the controller unless it was restored."""
         self.finals["ended" if result is interface.Result.OK else "cut"] += 1
+        self.recent_calls.add(now, call.uid)
         if call.ref:
             elapsed = now - call.attempt_started_at
             self.events.append(
@@ -561,6 +589,8 @@
     ) -> None:
         """Reports the outcome of an attempt that did not establish its call to the controller."""
         call = attempt.call
+        if attempt.connection_id and result not in NOT_EXECUTED_RESULTS:
+            call.may_have_run = True
         self._detach_attempt(now, attempt)
         call.open_attempt = None
         call_ended = call.stage is Stage.ENDED
@@ -931,6 +961,7 @@
             self.counts["clients mute"] += 1
             self.transport.close(client.connection_id, "no valid message in time")
             self.client_disconnected(now, client.connection_id)
+        self.recent_calls.expire(now)
         self.established.expire_releases(now)
         self._repeat_releases(now)
         self.counts["releases given up"] = self.established.releases_given_up()
--- a/ospreybridge/fronts/access.py
+++ b/ospreybridge/fronts/access.py
@@ -75,6 +75,8 @@
     def _read_client(self, connection_id: int, stream: tcp.Stream) -> Task:
         splitter = jsonl.Splitter()
         while data := (yield from stream.read()):
+            if stream.peer_has_finished():
+                self.server.client_leaving(self.loop.now, connection_id)
             for line in splitter.feed(data):
                 self.server.client_line(self.loop.now, connection_id, line)
                 if connection_id not in self.streams:
--- a/ospreybridge/net/tcp.py
+++ b/ospreybridge/net/tcp.py
@@ -5,6 +5,7 @@
 import contextlib
 import errno
 import os
+import select
 import socket
 from collections.abc import Callable, Generator
 
@@ -44,6 +45,14 @@
                 return b""
         return b""
 
+    def peer_has_finished(self) -> bool:
+        """Whether the peer sends nothing more on the connection; what it sent before may be unread."""
+        if self.closed:
+            return True
+        poll = select.poll()
+        poll.register(self.fd, select.POLLRDHUP)
+        return any(mask & (select.POLLRDHUP | select.POLLHUP | select.POLLERR) for _, mask in poll.poll(0))
+
     def write(self, data: bytes) -> None:
         """Queues data for the next flush; ignored once the stream is finished or closed."""
         if self.closed or self.finished:
