Handle 16 messages of a connection in a turn, then those of others

Cause: a reading task handled all messages of one read (64 KiB, 256 KiB over TLS; thousands of messages) before other connections were served.

Change: after 16 messages a connection leaves its turn (NEXT_TURN of the event loop), for callers, offices and M3UA peers, plain and TLS. What is read from clients and waits for its turn is bounded.

A client whose first set-up has an ended id counts as valid, too.

--- a/ospreybridge/access/server.py
+++ b/ospreybridge/access/server.py
@@ -199,6 +199,7 @@
         if client.has_left:
             self.counts["set-ups of clients that left"] += 1
             return
+        self._mark_valid(now, client)
         if self.recent_calls.contains(now, uid):
             self.counts["set-ups under the id of an ended call"] += 1
             self._send(client.connection_id, Message(jsonl.STOP, uid, {}, RESET_CAUSE))
@@ -207,7 +208,6 @@
             self.counts["over the most open"] += 1
             self._send(client.connection_id, Message(jsonl.STOP, uid, {}, causes.CONGESTION))
             return
-        self._mark_valid(now, client)
         self.last_ref = self.last_ref % 0xFFFFFFFF + 1
         call_class = self.settings.classes[set_up.class_index]
         call = Call(
--- a/ospreybridge/fronts/access.py
+++ b/ospreybridge/fronts/access.py
@@ -14,11 +14,13 @@
 from ospreybridge.access.feed import DIAL_TIMEOUT_MS, JournalFeed
 from ospreybridge.access.server import PlatformServer
 from ospreybridge.net import tcp
-from ospreybridge.net.loop import READ, EventLoop, Task, WaitRequest
+from ospreybridge.net.loop import NEXT_TURN, READ, EventLoop, Task, WaitRequest
 from ospreybridge.settings.platform import Address, PlatformConfig
 from ospreybridge.signalling import frames, jsonl
 from ospreybridge.signalling.errors import FrameError
 
+MAX_UNHANDLED_BYTES = 1 << 23  # read from all clients and not handled yet
+SMALL_READ_BYTES = 16_384  # for each client once there is as much
 MAX_UNSENT_BYTES = 1 << 18  # a peer that leaves more unread is disconnected
 MAX_DATAGRAMS_PER_TURN = 64  # then other sockets are served
 LINGER_MS = 200.0  # a closed connection is read for this time, so that its last messages arrive
@@ -42,6 +44,7 @@
         self.loop, self.config, self.log = loop, config, log
         self.streams: dict[int, tcp.Stream] = {}
         self.lingering_count = 0
+        self.unhandled_bytes = 0  # read from clients
         self.client_ids: set[int] = set()  # connections that were accepted
         self.dialling: set[int] = set()  # being opened and not closed meanwhile
         self.peer_socket: socket.socket | None = None
@@ -74,18 +77,36 @@
 
     def _read_client(self, connection_id: int, stream: tcp.Stream) -> Task:
         splitter = jsonl.Splitter()
-        while data := (yield from stream.read()):
-            if stream.peer_has_finished():
-                self.server.client_leaving(self.loop.now, connection_id)
-            for line in splitter.feed(data):
-                self.server.client_line(self.loop.now, connection_id, line)
-                if connection_id not in self.streams:
-                    return
+        while data := (yield from stream.read(self._client_read_size())):
+            self.unhandled_bytes += len(data)
+            try:
+                yield from self._handle_client_lines(connection_id, stream, splitter.feed(data))
+            finally:
+                self.unhandled_bytes -= len(data)
+            if connection_id not in self.streams:
+                return
             if splitter.error:
                 self.server.client_unreadable(self.loop.now, connection_id, splitter.error)
                 return
         stream.close("closed by the client")
 
+    def _client_read_size(self) -> int:
+        """A large read shows early that a client has left; many at once would take much memory."""
+        return tcp.READ_SIZE_BYTES if self.unhandled_bytes < MAX_UNHANDLED_BYTES else SMALL_READ_BYTES
+
+    def _handle_client_lines(
+        self, connection_id: int, stream: tcp.Stream, lines: list[bytes]
+    ) -> Generator[WaitRequest, None, None]:
+        """Passes lines to the server, in turns with other connections, until the connection has ended."""
+        for index, line in enumerate(lines):
+            if index and index % tcp.MAX_MESSAGES_PER_TURN == 0:
+                yield NEXT_TURN, 0.0
+            if connection_id not in self.streams:
+                return
+            if index % tcp.MAX_MESSAGES_PER_TURN == 0 and stream.peer_has_finished():
+                self.server.client_leaving(self.loop.now, connection_id)
+            self.server.client_line(self.loop.now, connection_id, line)
+
     def _client_closed(self, connection_id: int) -> None:
         self.streams.pop(connection_id, None)
         self.client_ids.discard(connection_id)
@@ -120,7 +141,11 @@
     def _read_office(self, connection_id: int, stream: tcp.Stream) -> Generator[WaitRequest, None, None]:
         splitter = jsonl.Splitter()
         while data := (yield from stream.read()):
-            for line in splitter.feed(data):
+            for index, line in enumerate(splitter.feed(data)):
+                if index and index % tcp.MAX_MESSAGES_PER_TURN == 0:
+                    yield NEXT_TURN, 0.0
+                if connection_id not in self.streams:
+                    return
                 self.server.office_line(self.loop.now, connection_id, line)
                 if connection_id not in self.streams:
                     return
--- a/ospreybridge/fronts/m3ua.py
+++ b/ospreybridge/fronts/m3ua.py
@@ -22,7 +22,7 @@
 from ospreybridge.keys import validation
 from ospreybridge.keys.validation import FailureReason
 from ospreybridge.net import tcp, tls
-from ospreybridge.net.loop import EventLoop, Task, WaitRequest
+from ospreybridge.net.loop import NEXT_TURN, EventLoop, Task, WaitRequest
 from ospreybridge.settings.server import Peer, ServerSettings
 from ospreybridge.signalling import m3ua
 from ospreybridge.signalling.errors import FrameError, MessageError
@@ -91,7 +91,11 @@
                 stream.flush()
                 stream.close(str(error))
                 return
-            for frame in frames:
+            for index, frame in enumerate(frames):
+                if index and index % tcp.MAX_MESSAGES_PER_TURN == 0:
+                    yield NEXT_TURN, 0.0
+                    if stream.closed:
+                        return
                 if front.record is not None:
                     front.record(self.peer_point_code, front.settings.point_code, frame)
                 association.receive(frame)
--- a/ospreybridge/net/loop.py
+++ b/ospreybridge/net/loop.py
@@ -1,6 +1,7 @@
-"""The epoll event loop. A task is a generator; it waits only by yielding one of the four requests below.
+"""The epoll event loop. A task is a generator; it waits only by yielding one of the five requests below.
 
-One iteration handles readable and writable sockets, then due timers, then flushes each stream written to.
+One iteration handles readable and writable sockets, then tasks that left their turn to others, then due
+timers, then flushes each stream written to.
 `now` is set once in an iteration, after the wait, and everything in it uses that time.
 """
 
@@ -16,9 +17,9 @@
 from ospreybridge.core.timers import TimerQueue
 from ospreybridge.net.worker import Work, Worker
 
-READ, WRITE, SLEEP, WORK = "read", "write", "sleep", "work"
-# (READ or WRITE, file descriptor), (SLEEP, milliseconds) or (WORK, function for the worker thread that must
-# not raise)
+READ, WRITE, SLEEP, WORK, NEXT_TURN = "read", "write", "sleep", "work", "next turn"
+# (READ or WRITE, file descriptor), (SLEEP, milliseconds), (WORK, function for the worker thread that must
+# not raise) or (NEXT_TURN, 0): go on in the next iteration, after the sockets that are ready then
 WaitRequest = tuple[str, float | Work]
 Task = Generator[WaitRequest, None, None]
 MAX_WAIT_MS = 1_000.0  # bounds the time until a change of `running` from outside the loop is noticed
@@ -39,6 +40,7 @@
         self.readers: dict[int, Task] = {}
         self.writers: dict[int, Task | Callable[[], None]] = {}
         self.registered_masks: dict[int, int] = {}
+        self.next_turn: list[Task] = []
         self.pending_flushes: list[Any] = []
         self.worker: Worker | None = None
         self.running = True
@@ -75,6 +77,8 @@
         elif kind == WRITE:
             self.writers[int(value)] = task
             self._update_registration(int(value))
+        elif kind == NEXT_TURN:
+            self.next_turn.append(task)
         else:
             self.timers.schedule(self.now + value, lambda now: self._resume(task))
 
@@ -130,8 +134,11 @@
         """Runs one iteration; waits up to `max_wait_ms` for a socket or timer."""
         due = self.timers.next_due()
         wait = max_wait_ms if due is None else min(max_wait_ms, max(0.0, due - self.clock() * 1_000.0))
+        if self.next_turn:
+            wait = 0.0
         ready = self.epoll.poll(wait / 1_000.0)
         self.now = max(self.now, self.clock() * 1_000.0)
+        continuing, self.next_turn = self.next_turn, []
         for fd, mask in ready:
             if mask & (select.EPOLLIN | select.EPOLLHUP | select.EPOLLERR):
                 reader = self.readers.pop(fd, None)
@@ -148,6 +155,8 @@
                         self._resume(writer)
                 if fd in self.registered_masks:
                     self._update_registration(fd)
+        for task in continuing:
+            self._resume(task)
         try:
             self.timers.run_due(self.now)
         except Exception as caught:  # the remaining timers run in the next iteration
@@ -200,6 +209,7 @@
         """Drops all sockets, stops the worker thread and closes the epoll object."""
         for fd in list(self.registered_masks):
             self.unregister(fd)
+        self.next_turn = []
         if self.worker is not None:
             self.worker.close()
         self.epoll.close()
--- a/ospreybridge/net/tcp.py
+++ b/ospreybridge/net/tcp.py
@@ -12,6 +12,7 @@
 from ospreybridge.net.loop import READ, WRITE, EventLoop, Task, TimedOut, WaitRequest
 
 READ_SIZE_BYTES = 65_536
+MAX_MESSAGES_PER_TURN = 16  # of one connection; then other connections are served
 MAX_ACCEPTS_PER_TURN = 4  # a flood of new connections must not delay established links
 
 
@@ -31,14 +32,17 @@
         self.has_written = False  # whether anything was ever written
         self.on_close: Callable[[str], None] | None = None
 
-    def read(self) -> Generator[WaitRequest, None, bytes]:
-        """Waits for data and returns at most 64 KiB; empty at the end of the stream or once it is closed."""
+    def read(self, max_bytes: int = READ_SIZE_BYTES) -> Generator[WaitRequest, None, bytes]:
+        """Waits for data and returns it, `max_bytes` at most.
+
+        Returns nothing at the end of the stream or once it is closed.
+        """
         while not self.closed:
             yield READ, self.fd
             if self.closed:
                 break
             try:
-                return self.sock.recv(READ_SIZE_BYTES)
+                return self.sock.recv(max_bytes)
             except BlockingIOError:
                 continue
             except OSError:
--- a/ospreybridge/net/tls.py
+++ b/ospreybridge/net/tls.py
@@ -282,7 +282,8 @@
     read_count = 0
     had_more_records = False  # whether the last read returned more than one
 
-    def read(self) -> Generator[WaitRequest, None, bytes]:
+    def read(self, max_bytes: int = READ_SIZE_BYTES) -> Generator[WaitRequest, None, bytes]:
+        """Waits for data and returns it: up to MAX_RECORDS_PER_READ records, each of `max_bytes` at most."""
         while not self.closed:
             if self.pending_error is None:
                 yield READ, self.fd
@@ -297,7 +298,7 @@
                 self.read_count += 1
                 drain = self.had_more_records or self.read_count % READS_PER_DRAIN == 0
                 for _ in range(MAX_RECORDS_PER_READ if drain else 1):
-                    records.append(self.sock.recv(READ_SIZE_BYTES))
+                    records.append(self.sock.recv(max_bytes))
                 self.had_more_records = len(records) > 1
                 return records[0] if len(records) == 1 else b"".join(records)
             except (ssl.SSLWantReadError, ssl.SSLWantWriteError):
