Drop IAMs that are unread on a link which its peer has closed

Cause: as on the platform's front, what was read was handled before the end of the connection was seen; each IAM began a call that the loss of the link ended at once.

Change: the front asks the connection that carries a link whether its peer has finished. If so, the call server drops the IAMs that are still unread; releases and all else count. A link that has moved to a newer association is not concerned.

Evidence: the new test of IAMs failed before, plain and TLS, and passes now; the one of releases passed before and now.

--- a/ospreybridge/core/callserver.py
+++ b/ospreybridge/core/callserver.py
@@ -53,6 +53,7 @@
         self.controller = Controller(settings.controller_settings(), settings.seed)
         self.peers: dict[int, Peer] = {peer.point_code: peer for peer in settings.peers}
         self.links: dict[int, Link] = {}
+        self.ending_links: set[int] = set()  # by point code: links that the far end has closed
         self.changed_groups: set[int] = set()
         self.groups = {
             peer.point_code: TrunkGroup(
@@ -118,6 +119,7 @@
     def link_up(self, now: float, point_code: int, link: Link) -> None:
         """A link became active. The state of its circuits is unknown until the far end has reset them."""
         self.links[point_code] = link
+        self.ending_links.discard(point_code)
         self.log_event("link up", peer=self.peers[point_code].name)
         group = self.groups.get(point_code)
         if group is not None:
@@ -128,8 +130,13 @@
             link.request_audit()
         self._dispatch_events(now)
 
+    def link_ending(self, point_code: int) -> None:
+        """The far end has closed a link of which some is unread: the IAMs in it are not sent on."""
+        self.ending_links.add(point_code)
+
     def link_down(self, now: float, point_code: int, reason: str) -> None:
         """A link was lost: its calls are lost with it, and pending attempts over it end with RESET."""
+        self.ending_links.discard(point_code)
         if self.links.pop(point_code, None) is None:
             return
         self.log_event("link down", peer=self.peers[point_code].name, reason=reason)
@@ -321,6 +328,9 @@
     # -- incoming calls
 
     def _handle_iam(self, now: float, group: TrunkGroup, message: IsupMessage) -> None:
+        if group.peer_code in self.ending_links:
+            self.counts["set-ups of peers that left"] += 1
+            return
         circuit = group.circuits[message.cic]
         width = 2 if message.parameters[isup.MEDIUM_REQUIREMENT] == bytes((isup.TWO_TIMES_64,)) else 1
         cics: tuple[int, ...] = (message.cic,) if width == 1 else (message.cic, message.cic + 1)
--- a/ospreybridge/fronts/m3ua.py
+++ b/ospreybridge/fronts/m3ua.py
@@ -96,6 +96,8 @@
                     yield NEXT_TURN, 0.0
                     if stream.closed:
                         return
+                if index % tcp.MAX_MESSAGES_PER_TURN == 0 and stream.peer_has_finished():
+                    front.association_ending(association)
                 if front.record is not None:
                     front.record(self.peer_point_code, front.settings.point_code, frame)
                 association.receive(frame)
@@ -499,6 +501,12 @@
         if link is not None:
             link.association_ended(self.channels[id(association)], reason)
 
+    def association_ending(self, association: Association) -> None:
+        """The peer has closed an association's connection, of which some is still unread."""
+        link = self.links.get(association.peer.point_code) if association.peer is not None else None
+        if link is not None and link.current is self.channels.get(id(association)):
+            self.call_server.link_ending(peer_of(association).point_code)
+
     def _link_lost(self, point_code: int, reason: str) -> None:
         del self.links[point_code]
         if self.credentials is not None:
--- a/tests/test_clients_that_leave.py
+++ b/tests/test_clients_that_leave.py
@@ -4,13 +4,16 @@
 
 import copy
 import socket
+from pathlib import Path
 
 import pytest
 
 from ospreybridge.access.recent import MAX_REMEMBERED, REMEMBERED_MS, RecentCalls
-from ospreybridge.signalling import causes, jsonl
+from ospreybridge.signalling import causes, isup, jsonl
+from ospreybridge.signalling.isup import IsupMessage
 from ospreybridge.signalling.jsonl import Message
 from ospreybridge.standins.platform import CallerStandIn
+from tests.fleet import fleet
 from tests.platform_rig import SETTINGS, Rig
 from tests.test_access_sockets import World, world
 
@@ -135,3 +138,43 @@
     assert not recent.contains(REMEMBERED_MS + 1.0, f"{MAX_REMEMBERED:016x}")
     recent.expire(REMEMBERED_MS + 1.0)
     assert not len(recent)
+
+
+@pytest.mark.parametrize("over_tls", [False, True])
+def test_set_ups_of_a_peer_that_closed_its_association_are_not_sent_on(
+    tmp_path: Path, over_tls: bool
+) -> None:
+    """Guards against IAMs sent on although their exchange closed its connection with them unread."""
+    with fleet(tmp_path, tls_options="" if over_tls else None) as f:
+        callers = f.callers[1]
+        set_ups = [0]
+        f.offices[1].on_isup = lambda message: count_set_up(set_ups, message)  # type: ignore[method-assign]
+        for serial in range(90):
+            f.call(1, 1 + serial % 3, serial)
+        assert callers.stream is not None and f.call_servers[1].last_ref == 0
+        callers.stream.flush()
+        callers.stop()
+        f.run_until(lambda: 2_001 not in f.call_servers[1].links)
+        f.loop.run_until(lambda: False, 200.0)
+        assert set_ups == [0] and not any(f.call_servers[n].last_ref for n in (1, 2, 3))
+        assert f.call_servers[1].counts["set-ups of peers that left"] >= 60
+        assert not f.call_servers[1].ending_links  # the next link of this peer is served
+
+
+def count_set_up(set_ups: list[int], message: IsupMessage) -> None:
+    set_ups[0] += message.type == isup.IAM
+
+
+@pytest.mark.parametrize("over_tls", [False, True])
+def test_release_of_a_peer_that_closed_its_association_counts(tmp_path: Path, over_tls: bool) -> None:
+    """Guards against the cause of a release lost because its exchange closed the connection after it."""
+    with fleet(tmp_path, tls_options="" if over_tls else None) as f:
+        f.call(1, 2, 0)
+        f.run_until(lambda: f.tally["in time"] == 1)
+        f.hang_up_all()
+        callers = f.callers[1]
+        assert callers.stream is not None
+        callers.stream.flush()
+        callers.stop()
+        f.run_until(lambda: 2_001 not in f.call_servers[1].links)
+        assert f.call_servers[1].finals["cleared"] == 1 and not f.call_servers[1].finals["cut"]
