Take an office whose address another one has for gone

Cause: addresses were compared only for offices that the list had said to be gone. Told of a new office at the address of one that it still held for ready, the call server went on setting up calls in the old one's name, kept its calls, and sent its releases to the new process. A dial under way in the old one's name was used, also when the list had told of the old one's end.

Change: the office named last has the address; the other one counts as gone at once, without a grace, for the controller too. Nothing is dialled or sent in its name, and its calls are told to be over.

--- a/ospreybridge/access/offices.py
+++ b/ospreybridge/access/offices.py
@@ -44,6 +44,7 @@
         self.zone_count, self.kind_count, self.unix_offset_ms = zone_count, kind_count, unix_offset_ms
         self.last_number = 0
         self.by_id: dict[int, Office] = {}
+        self._holders: dict[Address, int] = {}  # the office that has an address now
 
     def apply(self, now: float, frame: frames.Frame) -> interface.Members | None:
         """The event for the controller; None if it holds nothing new; FrameError if invalid."""
@@ -56,15 +57,39 @@
                 record.zone >= self.zone_count or record.kind >= self.kind_count or not record.port
             ):
                 raise FrameError(f"office {frames.office_name(record.id)} has no zone, kind or port")
-        entries = tuple(self._apply_record(now, record) for record in frame.records)
+        entries = {record.id: self._apply_record(now, record) for record in frame.records}
         self.last_number = frame.number
         if frame.kind == frames.FULL_LIST:
-            listed_ids = {entry.office for entry in entries}
             for office in self.by_id.values():
-                if office.id not in listed_ids:
+                if office.id not in entries:
                     self._set_readiness(now, office, interface.Readiness.GONE)
+        for office in self._replaced_offices(frame.records):
+            self._set_readiness(now, office, interface.Readiness.GONE)
+            entries[office.id] = interface.Entry(office.id, office.cell, 0, office.readiness)
+        self._holders = {
+            office.address: office.id
+            for office in self.by_id.values()
+            if office.readiness is not interface.Readiness.GONE
+        }
         form = interface.ListForm.FULL if frame.kind == frames.FULL_LIST else interface.ListForm.DELTA
-        return interface.Members(form, frame.number, entries)
+        return interface.Members(form, frame.number, tuple(entries.values()))
+
+    def _replaced_offices(self, records: tuple[frames.OfficeRecord, ...]) -> list[Office]:
+        """Offices whose address another one has by these records: their process has gone, told or not."""
+        holders = {
+            (record.address, record.port): record.id for record in records if record.state != frames.REMOVED
+        }
+        return [
+            office
+            for office in self.by_id.values()
+            if office.readiness is not interface.Readiness.GONE
+            and holders.get(office.address, office.id) != office.id
+        ]
+
+    def has_lost_address(self, office_id: int) -> bool:
+        """Whether another office has the address now: whatever answers there is not this office."""
+        office = self.by_id.get(office_id)
+        return office is not None and self._holders.get(office.address, office_id) != office_id
 
     def _apply_record(self, now: float, record: frames.OfficeRecord) -> interface.Entry:
         """Updates one office; a removed one keeps its cell and address."""
@@ -97,11 +122,11 @@
             office.readiness, office.readiness_since = readiness, now
 
     def is_barred(self, now: float, office_id: int, grace: float) -> bool:
-        """Whether an office gets no new set-ups: unknown, or not ready for `grace` milliseconds."""
+        """Whether an office gets no new set-ups: unknown, replaced, or not ready for `grace` milliseconds."""
         office = self.by_id.get(office_id)
-        return office is None or (
-            office.readiness is not interface.Readiness.READY and now - office.readiness_since >= grace
-        )
+        if office is None or self.has_lost_address(office_id):
+            return True
+        return office.readiness is not interface.Readiness.READY and now - office.readiness_since >= grace
 
     def forget(self, office_id: int) -> None:
         """Drops an office that nothing refers to any more."""
--- a/ospreybridge/access/server.py
+++ b/ospreybridge/access/server.py
@@ -632,6 +632,9 @@
 
     def _serve_waiting(self, now: float, pool: ConnectionPool) -> None:
         """Sends waiting set-ups in order on free connections, or opens a connection for them."""
+        if self.office_list.has_lost_address(pool.office_id):
+            for attempt in list(pool.waiting):
+                self._end_attempt(now, attempt, interface.Result.CONNECT_FAILED)
         while pool.waiting:
             connection, dial_needed = pool.choose_connection(
                 self.budget.allows_at_office(len(self.pool_by_connection), pool.size())
@@ -650,7 +653,7 @@
     def _dial(self, now: float, pool: ConnectionPool, reason: DialReason | None = None) -> None:
         """Starts to open a connection to the pool's office; without a `reason`, for a set-up that waits."""
         office = self.office_list.by_id.get(pool.office_id)
-        if office is None:
+        if office is None or self.office_list.has_lost_address(office.id):
             return
         self.last_connection_id += 1
         connection_id = self.last_connection_id
@@ -663,6 +666,9 @@
     def office_connected(self, now: float, connection_id: int) -> None:
         """A connection that was being opened is usable."""
         pool = self.pool_by_connection.get(connection_id)
+        if pool is not None and self.office_list.has_lost_address(pool.office_id):
+            self.office_dial_failed(now, connection_id, refused=False)
+            pool = None
         if pool is None:
             self.transport.close(connection_id, "office removed from the list")
             return
@@ -926,25 +932,19 @@
     def _maintain(self, now: float) -> None:
         """Periodic work: spare and idle connections, silent clients, lost offices, unconfirmed releases."""
         self.timers.schedule(now + MAINTENANCE_INTERVAL_MS, self._maintain)
-        used_addresses = {
-            listed.address
-            for listed in self.office_list.by_id.values()
-            if listed.readiness is not interface.Readiness.GONE
-        }
         spare = self.budget.spare_connections(len(self.pools))
         wanted: list[WantedConnection] = []
         for pool in list(self.pools.values()):
             office = self.office_list.by_id[pool.office_id]
             gone = office.readiness is interface.Readiness.GONE
+            replaced = self.office_list.has_lost_address(pool.office_id)
             if gone:
-                if office.address in used_addresses:
+                if replaced:
                     self._end_office_calls(now, pool.office_id, "another has its address")
                 self._remove_office(now, pool.office_id)
                 if pool.office_id not in self.pools:
                     continue
-            has_calls = self.established.needs_office(pool.office_id) and not (
-                gone and office.address in used_addresses
-            )
+            has_calls = self.established.needs_office(pool.office_id) and not replaced
             ready = office.readiness is interface.Readiness.READY
             reason = pool.wanted_connection(now, spare, ready, has_calls)
             if reason is not None:
