--- a/ospreybridge/access/server.py
+++ b/ospreybridge/access/server.py
@@ -24,13 +24,7 @@
 from ospreybridge.access.offices import Office, OfficeList
 from ospreybridge.access.pool import ConnectionPool, OfficeConnection
 from ospreybridge.access.recent import RecentCalls
-from ospreybridge.access.releases import (
-    MAX_BACKLOG_BYTES,
-    MAX_REFUSED_REPORT_REPEATS,
-    ClientChoice,
-    Release,
-    Releases,
-)
+from ospreybridge.access.release_sender import ReleaseSender
 from ospreybridge.access.shutdown import ShutdownPhases
 from ospreybridge.core.timers import TimerQueue
 from ospreybridge.policy import NOT_EXECUTED_RESULTS, Controller
@@ -86,11 +80,13 @@
         self.calls_by_ref: dict[int, Call] = {}  # calls that the controller's actions may refer to
         self.pending: dict[str, Call] = {}
         self.established = EstablishedCalls(now)
+        self.releases = ReleaseSender(
+            self.established, self.clients, self.pools, self._send, transport.unsent_bytes
+        )
         self.recent_calls = RecentCalls()
         self.open_probes: dict[str, tuple[int, float]] = {}  # uid -> office, time sent
         self.events: deque[interface.Event] = deque()
         self.handling_events = False
-        self.sending_releases = False
         self.last_ref = self.last_connection_id = 0
         self.shutdown_phases = ShutdownPhases.for_settings(self.settings)
         self.stopping_since: float | None = None  # time of SIGTERM
@@ -172,14 +168,14 @@
         for call in list(client.pending_calls.values()):
             self._caller_left(now, call)
         self.established.client_disconnected(connection_id)
-        self._send_new_releases(now)
+        self.releases.send_new(now)
         self._process_events(now)
 
     def _mark_valid(self, now: float, client: Client) -> None:
         """Records a client's first valid message; releases that had no client to go to are sent now."""
         if client.trust == calls.TRUST_UNKNOWN:
             client.trust = calls.TRUST_VALID_MESSAGE
-            self._send_new_releases(now)
+            self.releases.send_new(now)
 
     def _handle_set_up(self, now: float, client: Client, message: Message) -> None:
         """Validates a set-up and passes it to the controller, or answers it at once."""
@@ -280,8 +276,8 @@
         ):
             self.counts["told to stand, lost by a start"] += 1
             self._report_end(now, self.established.lose(now, call), interface.Result.RESET)
-            self._send_new_releases(now)
-            self._send_office_releases(now, office_id)
+            self.releases.send_new(now)
+            self.releases.send_to_office(now, office_id)
             self._process_events(now)
 
     def _handle_caller_stop(self, now: float, client: Client, message: Message) -> None:
@@ -296,12 +292,12 @@
         established = self.established.released_by_caller(now, message.uid)
         if established is not None:
             self._report_end(now, established, interface.Result.CANCELLED)
-            self._send_office_releases(now, established.office_id)
+            self.releases.send_to_office(now, established.office_id)
             self._process_events(now)
         elif self.established.release_unknown(now, message.uid, list(self.pools)):
             self.counts["releases of unknown calls"] += 1
             for office_id in self.pools:
-                self._send_office_releases(now, office_id)
+                self.releases.send_to_office(now, office_id)
         self._send(client.connection_id, Message(jsonl.STOPPED, message.uid))
 
     def _caller_left(self, now: float, call: Call) -> None:
@@ -334,7 +330,7 @@
             self.established.to_offices.begin(
                 now, call.uid, causes.NORMAL_CLEARING, office_id
             ).reply_due = False
-            self._send_office_releases(now, office_id)
+            self.releases.send_to_office(now, office_id)
 
     def _send_final_stop(self, now: float, call: Call, cause: int, meta: dict[str, jsonl.Value]) -> None:
         """Answers a call that was not established: the only final answer that it gets."""
@@ -383,8 +379,8 @@
         )
         for call in lost:
             self._report_end(now, call, interface.Result.RESET)
-        self._send_new_releases(now)
-        self._send_office_releases(now, office_id)
+        self.releases.send_new(now)
+        self.releases.send_to_office(now, office_id)
 
     def _end_office_calls(self, now: float, office_id: int, reason: str) -> None:
         """Ends all calls established at a lost office and retires the connections to it."""
@@ -392,73 +388,6 @@
             self._retire_connection(now, self.pools[office_id], connection_id)
         self._report_lost(now, office_id, self.established.lost_with_office(now, office_id), reason)
 
-    # -- releases
-
-    def _send_new_releases(self, now: float) -> None:
-        """Sends the releases to callers that are on no open connection."""
-        self._send_caller_releases(now, self.established.to_callers, self.established.to_callers.unsent())
-
-    def _repeat_releases(self, now: float) -> None:
-        """Sends releases that are on no open connection, in both directions, or were not confirmed."""
-        self._send_new_releases(now)
-        to_callers, refused = self.established.to_callers, self.established.refused_reports
-        self._send_caller_releases(now, to_callers, to_callers.unanswered(now))
-        self._send_caller_releases(now, refused, refused.unsent(limit=MAX_REFUSED_REPORT_REPEATS))
-        for office_id in self.established.to_offices.offices_with_unsent():
-            self._send_office_releases(now, office_id)
-
-    def _send_caller_releases(self, now: float, releases: Releases, due: list[Release]) -> None:
-        """Sends releases to callers as far as their connections take them; the others stay due.
-
-        A connection that ends meanwhile leaves its releases to the next pass.
-        """
-        if self.sending_releases or not due:
-            return
-        self.sending_releases = True
-        try:
-            choice = ClientChoice(self.clients, self._has_room)
-            for release in due:
-                if not releases.is_unconfirmed(release):
-                    continue
-                client = choice.client_for(release)
-                if client is None:
-                    return
-                releases.sent(now, release, client.connection_id)
-                self._send(client.connection_id, Message(jsonl.STOP, release.uid, {}, release.cause))
-        finally:
-            self.sending_releases = False
-
-    def _has_room(self, client: Client) -> bool:
-        """Whether a client's connection takes one more release."""
-        return self.transport.unsent_bytes(client.connection_id) < MAX_BACKLOG_BYTES
-
-    def _send_office_releases(
-        self, now: float, office_id: int, connection: OfficeConnection | None = None
-    ) -> None:
-        """Sends the releases to an office that are on no open connection, as far as it takes them.
-
-        `connection`: the one to use; by default any of the office, if there is one.
-        """
-        pool = self.pools.get(office_id)
-        if connection is None and pool is not None:
-            connection = pool.any_connection()
-        if pool is None or connection is None:
-            return
-        releases = self.established.to_offices
-        for release in releases.unsent(office_id):
-            is_full = self.transport.unsent_bytes(connection.id) >= MAX_BACKLOG_BYTES
-            if is_full or connection.id not in pool.connections:
-                return
-            if releases.is_unconfirmed(release):
-                self._send_office_release(now, connection, release)
-
-    def _send_office_release(self, now: float, connection: OfficeConnection, release: Release) -> None:
-        self.established.to_offices.sent(now, release, connection.id)
-        if release.reply_due:  # `stopped` is optional: not asked for again on the next connection
-            release.reply_due = False
-            connection.message_due(now)
-        self._send(connection.id, Message(jsonl.STOP, release.uid, {}, release.cause))
-
     # -- the controller
 
     def _process_events(self, now: float) -> None:
@@ -678,7 +607,7 @@
         self.counts["office connections opened"] += 1
         self._trace_connection("connection opened", pool, connection_id)
         self.established.to_offices.repeat(pool.office_id)
-        self._send_office_releases(now, pool.office_id, connection)
+        self.releases.send_to_office(now, pool.office_id, connection)
         self._serve_waiting(now, pool)
         self._process_events(now)
 
@@ -747,7 +676,7 @@
         for attempt in list(connection.attempts.values()) if connection is not None else ():
             attempt.call.doubtful_offices.add(attempt.office_id)
             self._end_attempt(now, attempt, interface.Result.RESET)
-        self._send_office_releases(now, pool.office_id)
+        self.releases.send_to_office(now, pool.office_id)
         self._process_events(now)
 
     def _handle_office_message(
@@ -827,7 +756,7 @@
         """The caller has left, and set-ups are not cancelled here: the call that now stands is released."""
         self._end_attempt(now, attempt, interface.Result.CANCELLED)
         self.established.to_offices.begin(now, attempt.call.uid, causes.NORMAL_CLEARING, attempt.office_id)
-        self._send_office_releases(now, attempt.office_id)
+        self.releases.send_to_office(now, attempt.office_id)
 
     def _answered_by_earlier_process(self, now: float, attempt: Attempt) -> None:
         """The list told of the office's new start before this answer arrived: the call does not stand.
@@ -856,7 +785,7 @@
         if call is not None:
             result = interface.Result.OK if cause == causes.NORMAL_CLEARING else interface.Result.RESET
             self._report_end(now, call, result, report)
-            self._send_new_releases(now)
+            self.releases.send_new(now)
 
     def _probe(self, now: float, office_id: int) -> None:
         """Sends a `check` to an office for the controller; the reply or a time-out is reported as Probed."""
@@ -965,7 +894,7 @@
             self.client_disconnected(now, client.connection_id)
         self.recent_calls.expire(now)
         self.established.expire_releases(now)
-        self._repeat_releases(now)
+        self.releases.send_due(now)
         self.counts["releases given up"] = self.established.releases_given_up()
         self._process_events(now)
 
