Free an ended M3UA association at once, not at a garbage collection

Cause: an association held a table of its own bound methods, and its channel and stream referred to each other; each ended one waited for a collection of the middle or last generation, which the process makes seldom.

--- a/ospreybridge/core/association.py
+++ b/ospreybridge/core/association.py
@@ -19,6 +19,10 @@
 MAX_CONSECUTIVE_ERRORS = 100  # unreadable messages in a row that end the association
 
 
+def _discard(frame: bytes) -> None:
+    """Stands for the sending of a connection that has ended; drops the association's reference to it."""
+
+
 class AspState(IntEnum):
     """State of the association (RFC 4666, 4.3.1)."""
 
@@ -69,26 +73,6 @@
         self.consecutive_errors = 0
         self.pending_heartbeats: dict[bytes, Callable[[bool], None]] = {}
         self.heartbeat_count = 0
-        self.handlers: dict[tuple[int, int], Callable[[Message], None]] = {
-            m3ua.ASPUP: self._handle_aspup,
-            m3ua.ASPDN: self._handle_aspdn,
-            m3ua.BEAT: self._handle_beat,
-            m3ua.ASPUP_ACK: self._handle_aspup_ack,
-            m3ua.ASPDN_ACK: self._ignore,
-            m3ua.BEAT_ACK: self._handle_beat_ack,
-            m3ua.ASPAC: self._handle_aspac,
-            m3ua.ASPIA: self._handle_aspia,
-            m3ua.ASPAC_ACK: self._handle_aspac_ack,
-            m3ua.ASPIA_ACK: self._ignore,
-            m3ua.ERR: self._forward_management,
-            m3ua.NTFY: self._handle_notify,
-            m3ua.DAUD: self._handle_daud,
-            m3ua.DUPU: self._forward_management,
-            m3ua.DAVA: self._forward_management,
-            m3ua.DUNA: self._forward_management,
-            m3ua.DRST: self._forward_management,
-            m3ua.SCON: self._forward_management,
-        }
 
     # -- procedures started by this side
 
@@ -138,6 +122,7 @@
         for answered in pending.values():
             answered(False)
         self._set_state(AspState.DOWN, reason)
+        self.send = _discard
 
     # -- received messages
 
@@ -152,7 +137,7 @@
                 self._handle_data(message, frame)
             else:
                 assert isinstance(message, Message)
-                self.handlers[message.kind](message)
+                _HANDLERS[message.kind](self, message)
             self.consecutive_errors = 0
         except MessageError as error:
             self.consecutive_errors += 1
@@ -311,3 +296,27 @@
 
     def _ignore(self, message: Message) -> None:
         pass
+
+
+# What handles each kind of message. A table of bound methods would keep each ended association alive until a
+# full garbage collection.
+_HANDLERS: dict[tuple[int, int], Callable[[Association, Message], None]] = {
+    m3ua.ASPUP: Association._handle_aspup,
+    m3ua.ASPDN: Association._handle_aspdn,
+    m3ua.BEAT: Association._handle_beat,
+    m3ua.ASPUP_ACK: Association._handle_aspup_ack,
+    m3ua.ASPDN_ACK: Association._ignore,
+    m3ua.BEAT_ACK: Association._handle_beat_ack,
+    m3ua.ASPAC: Association._handle_aspac,
+    m3ua.ASPIA: Association._handle_aspia,
+    m3ua.ASPAC_ACK: Association._handle_aspac_ack,
+    m3ua.ASPIA_ACK: Association._ignore,
+    m3ua.ERR: Association._forward_management,
+    m3ua.NTFY: Association._handle_notify,
+    m3ua.DAUD: Association._handle_daud,
+    m3ua.DUPU: Association._forward_management,
+    m3ua.DAVA: Association._forward_management,
+    m3ua.DUNA: Association._forward_management,
+    m3ua.DRST: Association._forward_management,
+    m3ua.SCON: Association._forward_management,
+}
--- a/ospreybridge/fronts/m3ua.py
+++ b/ospreybridge/fronts/m3ua.py
@@ -146,6 +146,7 @@
             front.log_event("link broken", peer=peer.name if peer else "unknown", reason=reason)
         self.association.connection_closed(reason)
         front.channels.pop(id(self.association), None)
+        self.stream.on_close = None  # nothing refers to this channel in a circle: it is freed at once
 
     # -- Carrier interface
 
--- a/tests/test_memory_limits.py
+++ b/tests/test_memory_limits.py
@@ -3,13 +3,8 @@
 from __future__ import annotations
 
 import contextlib
-import os
 import socket
-import ssl
-import subprocess
-import sys
-import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from pathlib import Path
 
 import pytest
@@ -18,17 +13,15 @@
 from ospreybridge.signalling import causes, jsonl, m3ua
 from ospreybridge.signalling.jsonl import MAX_LINE_BYTES, Message
 from ospreybridge.standins.platform import CallerStandIn
-from tests.fleet import fleet
 from tests.platform_rig import Rig
+from tests.served import peak_memory_mb, served_exchange
 from tests.test_access_sockets import World, process, world
-from tests.test_message_floods import peak_memory_mb
 
 __all__ = ["world"]  # a fixture
 PLATFORM_LIMITS = {"cores": 1.0, "memory_mb": 48, "sockets": 1_024}
 MAX_MEMORY_MB = 192.0  # the most that the platform gives to a process
 CLIENTS, PEERS = 400, 200
 SLOW_CLIENTS = 100
-ANSWER_TIMEOUT_S = 10.0  # far more than any wait here takes
 HALF_MESSAGE = b'{"kind":"launch","uid":"0123456789abcdef","meta":{},"body":"' + b"a" * (MAX_LINE_BYTES - 100)
 
 
@@ -145,58 +138,6 @@
     assert admission.body_bytes == 0
 
 
-# -- the M3UA front
-
-
-class ServedExchange:
-    """A call server with an M3UA front in a process of its own, and how to connect to it."""
-
-    def __init__(self, server: subprocess.Popen[bytes], port: int, context: ssl.SSLContext | None) -> None:
-        self.server, self.port, self.context = server, port, context
-
-    def connect(self) -> socket.socket:
-        return socket.create_connection(("127.0.0.1", self.port), timeout=ANSWER_TIMEOUT_S)
-
-    def connect_as_peer(self) -> socket.socket:
-        """A connection on which frames can be sent."""
-        sock = self.connect()
-        if self.context is None:
-            return sock
-        return self.context.wrap_socket(sock, server_hostname="cs2.test")
-
-    def assert_served(self) -> None:
-        """A sound peer is answered; a connection may be refused while others hold the places."""
-        end = time.monotonic() + ANSWER_TIMEOUT_S
-        while time.monotonic() < end:
-            with contextlib.suppress(OSError), self.connect_as_peer() as sock:
-                sock.sendall(m3ua.encode(m3ua.BEAT, [(m3ua.HEARTBEAT_DATA, b"sound")]))
-                if b"sound" in sock.recv(4_096):
-                    return
-        raise AssertionError("no answer to BEAT")
-
-
-@contextlib.contextmanager
-def served_exchange(folder: Path, over_tls: bool) -> Iterator[ServedExchange]:
-    """An exchange of a fleet, served by a process of its own in place of the fleet's."""
-    with fleet(folder, tls_options="" if over_tls else None) as f:
-        context = f.standin_contexts.client if over_tls else None
-    file = folder / "cs2.kdl"
-    with socket.socket() as free:
-        free.bind(("127.0.0.1", 0))
-        port = free.getsockname()[1]
-    text = file.read_text()
-    place = text.rindex("127.0.0.1:0") if over_tls else text.index("127.0.0.1:0")
-    file.write_text(text[:place] + f"127.0.0.1:{port}" + text[place + len("127.0.0.1:0") :])
-    command = [sys.executable, "-m", "ospreybridge", "serve", str(file)]
-    with open(folder / "server.log", "wb") as log:
-        server = subprocess.Popen(command, stdout=log, stderr=log, env=dict(os.environ))
-    try:
-        yield ServedExchange(server, port, context)
-    finally:
-        server.kill()
-        server.wait()
-
-
 def frame_of_many_parameters() -> bytes:
     return m3ua.encode(m3ua.BEAT, [(0x4000 + number, b"") for number in range(1_000)])
 
--- a/tests/test_message_floods.py
+++ b/tests/test_message_floods.py
@@ -5,7 +5,9 @@
 import contextlib
 import multiprocessing
 import socket
+import ssl
 import threading
+import time
 from collections import deque
 from collections.abc import Callable, Iterator
 from pathlib import Path
@@ -20,10 +22,13 @@
 from ospreybridge.standins.platform import CallerStandIn
 from tests.fleet import fleet
 from tests.platform_rig import Rig
+from tests.served import peak_memory_mb, served_exchange
 from tests.test_access_sockets import World, process, world
 
 __all__ = ["world"]  # a fixture
 MEMORY_LIMIT_MB = 64.0  # of the configuration
+PLATFORM_MEMORY_MB = 192.0  # the most that the platform gives to a process
+MAX_GROWTH_MB = 3.0  # in a second of a flood that goes on
 FLOOD_MESSAGES = 12_000
 ANSWERED_WITHIN_MS = 1_550.0  # the time that the caller gives its set-up; each time limit grows by 50 ms
 MAX_MESSAGES_AHEAD = 4 * tcp.MAX_MESSAGES_PER_TURN  # of a flooding connection, handled before another's one
@@ -230,12 +235,6 @@
         child.join()
 
 
-def peak_memory_mb(pid: int) -> float:
-    """The most memory that a process has used."""
-    status = Path(f"/proc/{pid}/status").read_text()
-    return int(status.partition("VmHWM:")[2].split()[0]) / 1_024.0
-
-
 @pytest.mark.parametrize("kind", ["unsound", "taken_back", "to_anywhere"])
 def test_calls_are_answered_and_memory_holds_while_a_client_floods_the_process(
     world: World, tmp_path: Path, kind: str
@@ -257,3 +256,71 @@
                 assert all(sound.kinds(uid) for uid in overdue)
         assert any("running" in sound.kinds(uid) for uid in sent_at) and not sound.closed
         assert peak_memory_mb(server.pid) < MEMORY_LIMIT_MB
+
+
+def test_datagrams_of_a_stranger_are_dropped_and_delay_nobody(world: World) -> None:
+    """Guards against answers that come late because somebody sends datagrams at full speed."""
+    config_of_world = world.server_config
+    world.server_config = lambda: {**config_of_world(), "peer_listen": "127.0.0.1:0"}  # type: ignore[method-assign]
+    front = world.start_server()
+    assert front.peer_socket is not None
+    sound = CallerStandIn(world.loop, front.port)
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as stranger:
+        before = count_entries(front.server)
+        for _ in range(30):
+            for number in range(200):
+                stranger.sendto(number.to_bytes(256, "big"), front.peer_socket.getsockname())
+            uid = world.set_up(sound)
+            world.until(lambda uid=uid: sound.kinds(uid) == ["running"])
+            next(office for office in world.offices if uid in office.established).release(uid)
+            world.until(lambda uid=uid: sound.kinds(uid) == ["running", "stop"])
+        assert front.server.counts["datagrams dropped"] >= 30 * 100
+        assert count_entries(front.server) < before + 30 * 20  # the calls leave traces
+
+
+def send_frames_at_full_speed(port: int, kind: str, context: ssl.SSLContext | None) -> None:
+    """Connects again whenever the connection is closed, and goes on under new identifiers."""
+    identifier = 100_000
+    while True:
+        with contextlib.suppress(OSError):
+            sock = socket.create_connection(("127.0.0.1", port))
+            if context is not None:
+                sock = context.wrap_socket(sock, server_hostname="cs2.test")
+            threading.Thread(target=read_all, args=(sock,), daemon=True).start()
+            while True:
+                sock.sendall(b"".join(unsound_frame(kind, identifier + number) for number in range(200)))
+                identifier += 200
+
+
+def unsound_frame(kind: str, number: int) -> bytes:
+    if kind == "small":
+        return m3ua.encode(m3ua.BEAT)
+    if kind == "unsound":
+        return b"\x01\x00\x09\x09" + (8).to_bytes(4, "big")
+    return m3ua.encode(m3ua.ASPUP, [(m3ua.ASP_ID, m3ua.uint32(number))])
+
+
+@pytest.mark.parametrize("over_tls", [False, True])
+@pytest.mark.parametrize("kind", ["small", "unsound", "new names"])
+def test_peers_are_answered_and_memory_holds_while_one_floods_the_process(
+    tmp_path: Path, over_tls: bool, kind: str
+) -> None:
+    """Guards against peers answered late or never, and memory that grows, under one peer's flood."""
+    with served_exchange(tmp_path, over_tls) as exchange:
+        exchange.assert_served()
+        flooding = multiprocessing.get_context("fork").Process(
+            target=send_frames_at_full_speed, args=(exchange.port, kind, exchange.context), daemon=True
+        )
+        flooding.start()
+        try:
+            peaks = []
+            for _ in range(3):
+                end = time.monotonic() + 1.0
+                while time.monotonic() < end:
+                    exchange.assert_served()
+                peaks.append(peak_memory_mb(exchange.server.pid))
+        finally:
+            flooding.kill()
+            flooding.join()
+        print(f"{kind}, TLS {over_tls}: {[round(peak, 1) for peak in peaks]} MB")
+        assert peaks[2] - peaks[1] <= MAX_GROWTH_MB and peaks[2] < PLATFORM_MEMORY_MB
