--- a/ospreybridge/fronts/access.py
+++ b/ospreybridge/fronts/access.py
@@ -14,7 +14,7 @@
 from ospreybridge.access.feed import DIAL_TIMEOUT_MS, JournalFeed
 from ospreybridge.access.server import PlatformServer
 from ospreybridge.net import tcp
-from ospreybridge.net.loop import NEXT_TURN, READ, EventLoop, Task, WaitRequest
+from ospreybridge.net.loop import READ, EventLoop, Task, WaitRequest
 from ospreybridge.settings.platform import Address, PlatformConfig
 from ospreybridge.signalling import frames, jsonl
 from ospreybridge.signalling.errors import FrameError
@@ -76,17 +76,27 @@
         self.loop.spawn(self._read_client(connection_id, stream))
 
     def _read_client(self, connection_id: int, stream: tcp.Stream) -> Task:
+        def is_open() -> bool:
+            return connection_id in self.streams
+
+        def handle(line: bytes) -> None:
+            self.server.client_line(self.loop.now, connection_id, line)
+
+        def begin_turn() -> None:
+            if stream.peer_has_finished():
+                self.server.client_leaving(self.loop.now, connection_id)
+
         splitter = jsonl.Splitter()
         while data := (yield from stream.read(self._client_read_size())):
             size, lines = len(data), splitter.feed(data)
             del data  # a task that waits for more must not keep what it has handled
             self.unhandled_bytes += size
             try:
-                yield from self._handle_client_lines(connection_id, stream, lines)
+                yield from tcp.handle_in_turns(lines, handle, is_open, begin_turn)
             finally:
                 self.unhandled_bytes -= size
                 del lines
-            if connection_id not in self.streams:
+            if not is_open():
                 return
             if splitter.error:
                 self.server.client_unreadable(self.loop.now, connection_id, splitter.error)
@@ -97,19 +107,6 @@
         """A large read shows early that a client has left; many at once would take much memory."""
         return tcp.READ_SIZE_BYTES if self.unhandled_bytes < MAX_UNHANDLED_BYTES else SMALL_READ_BYTES
 
-    def _handle_client_lines(
-        self, connection_id: int, stream: tcp.Stream, lines: list[bytes]
-    ) -> Generator[WaitRequest, None, None]:
-        """Passes lines to the server, in turns with other connections, until the connection has ended."""
-        for index, line in enumerate(lines):
-            if index and index % tcp.MAX_MESSAGES_PER_TURN == 0:
-                yield NEXT_TURN, 0.0
-            if connection_id not in self.streams:
-                return
-            if index % tcp.MAX_MESSAGES_PER_TURN == 0 and stream.peer_has_finished():
-                self.server.client_leaving(self.loop.now, connection_id)
-            self.server.client_line(self.loop.now, connection_id, line)
-
     def _client_closed(self, connection_id: int) -> None:
         self.streams.pop(connection_id, None)
         self.client_ids.discard(connection_id)
@@ -142,18 +139,17 @@
         yield from self._read_office(connection_id, stream)
 
     def _read_office(self, connection_id: int, stream: tcp.Stream) -> Generator[WaitRequest, None, None]:
+        def is_open() -> bool:
+            return connection_id in self.streams
+
+        def handle(line: bytes) -> None:
+            self.server.office_line(self.loop.now, connection_id, line)
+
         splitter = jsonl.Splitter()
         while data := (yield from stream.read()):
             lines = splitter.feed(data)
             del data  # a task that waits for more must not keep what it has handled
-            for index, line in enumerate(lines):
-                if index and index % tcp.MAX_MESSAGES_PER_TURN == 0:
-                    yield NEXT_TURN, 0.0
-                if connection_id not in self.streams:
-                    return
-                self.server.office_line(self.loop.now, connection_id, line)
-                if connection_id not in self.streams:
-                    return
+            yield from tcp.handle_in_turns(lines, handle, is_open)
             del lines
             if splitter.error:
                 stream.close(splitter.error)
--- a/ospreybridge/fronts/m3ua.py
+++ b/ospreybridge/fronts/m3ua.py
@@ -22,7 +22,7 @@
 from ospreybridge.keys import validation
 from ospreybridge.keys.validation import FailureReason
 from ospreybridge.net import tcp, tls
-from ospreybridge.net.loop import NEXT_TURN, EventLoop, Task, WaitRequest
+from ospreybridge.net.loop import EventLoop, Task, WaitRequest
 from ospreybridge.settings.server import Peer, ServerSettings
 from ospreybridge.signalling import m3ua
 from ospreybridge.signalling.errors import FrameError, MessageError
@@ -76,7 +76,7 @@
 
     def read(self) -> Task:
         """Passes received frames to the association until the connection ends."""
-        stream, front, association = self.stream, self.front, self.association
+        stream, front = self.stream, self.front
         while True:
             data = yield from stream.read()
             if not data:
@@ -92,20 +92,22 @@
                 stream.close(str(error))
                 return
             del data  # a task that waits for more must not keep what it has handled
-            for index, frame in enumerate(frames):
-                if index and index % tcp.MAX_MESSAGES_PER_TURN == 0:
-                    yield NEXT_TURN, 0.0
-                    if stream.closed:
-                        return
-                if index % tcp.MAX_MESSAGES_PER_TURN == 0 and stream.peer_has_finished():
-                    front.association_ending(association)
-                if front.record is not None:
-                    front.record(self.peer_point_code, front.settings.point_code, frame)
-                association.receive(frame)
-                if stream.closed:
-                    return
+            yield from tcp.handle_in_turns(
+                frames, self._handle_frame, lambda: not stream.closed, self._begin_turn
+            )
+            if stream.closed:
+                return
             del frames
 
+    def _handle_frame(self, frame: bytes) -> None:
+        if self.front.record is not None:
+            self.front.record(self.peer_point_code, self.front.settings.point_code, frame)
+        self.association.receive(frame)
+
+    def _begin_turn(self) -> None:
+        if self.stream.peer_has_finished():
+            self.front.association_ending(self.association)
+
     def supervise(self) -> Task:
         """Closes the connection if its association isn't active in time, or if the peer has gone silent."""
         timers = self.front.settings.timers
--- a/ospreybridge/net/tcp.py
+++ b/ospreybridge/net/tcp.py
@@ -9,13 +9,33 @@
 import socket
 from collections.abc import Callable, Generator
 
-from ospreybridge.net.loop import READ, WRITE, EventLoop, Task, TimedOut, WaitRequest
+from ospreybridge.net.loop import NEXT_TURN, READ, WRITE, EventLoop, Task, TimedOut, WaitRequest
 
 READ_SIZE_BYTES = 65_536
 MAX_MESSAGES_PER_TURN = 16  # of one connection; then other connections are served
 MAX_ACCEPTS_PER_TURN = 4  # a flood of new connections must not delay established links
 
 
+def handle_in_turns(
+    messages: list[bytes],
+    handle: Callable[[bytes], None],
+    is_open: Callable[[], bool],
+    begin_turn: Callable[[], None] | None = None,
+) -> Generator[WaitRequest, None, None]:
+    """Handles messages of one connection, some in each iteration of the loop, as long as it `is_open`.
+
+    `begin_turn` is called before the first message of each turn.
+    """
+    for index, message in enumerate(messages):
+        if index and index % MAX_MESSAGES_PER_TURN == 0:
+            yield NEXT_TURN, 0.0
+        if not is_open():
+            return
+        if begin_turn is not None and index % MAX_MESSAGES_PER_TURN == 0:
+            begin_turn()
+        handle(message)
+
+
 class Stream:
     """One connection. Writes are sent together, once in each iteration of the loop.
 
