Keep on the link itself that its peer has closed it

The call server kept a set of such links beside its table of links, and the front decided which association carries one. PeerLink knows both; the mark goes with the link. The test that looked into the set now brings the peer back and has it set up a call.

--- a/ospreybridge/core/callserver.py
+++ b/ospreybridge/core/callserver.py
@@ -34,9 +34,12 @@
     """An active link to one peer, provided by the M3UA front.
 
     `probe` calls `on_result(now, round trip in ms)`, with None if the link ends before the answer;
-    `request_audit` asks the list service for the whole exchange list.
+    `request_audit` asks the list service for the whole exchange list. Of an `ending` link, which the far end
+    has closed, only what is unread is still received.
     """
 
+    ending: bool
+
     def send_data(self, service: int, sls: int, body: bytes) -> None: ...
     def probe(self, on_result: Callable[[float, float | None], None]) -> None: ...
     def request_audit(self) -> None: ...
@@ -53,7 +56,6 @@
         self.controller = Controller(settings.controller_settings(), settings.seed)
         self.peers: dict[int, Peer] = {peer.point_code: peer for peer in settings.peers}
         self.links: dict[int, Link] = {}
-        self.ending_links: set[int] = set()  # by point code: links that the far end has closed
         self.changed_groups: set[int] = set()
         self.groups = {
             peer.point_code: TrunkGroup(
@@ -119,7 +121,6 @@
     def link_up(self, now: float, point_code: int, link: Link) -> None:
         """A link became active. The state of its circuits is unknown until the far end has reset them."""
         self.links[point_code] = link
-        self.ending_links.discard(point_code)
         self.log_event("link up", peer=self.peers[point_code].name)
         group = self.groups.get(point_code)
         if group is not None:
@@ -130,13 +131,8 @@
             link.request_audit()
         self._dispatch_events(now)
 
-    def link_ending(self, point_code: int) -> None:
-        """The far end has closed a link of which some is unread: the IAMs in it are not sent on."""
-        self.ending_links.add(point_code)
-
     def link_down(self, now: float, point_code: int, reason: str) -> None:
         """A link was lost: its calls are lost with it, and pending attempts over it end with RESET."""
-        self.ending_links.discard(point_code)
         if self.links.pop(point_code, None) is None:
             return
         self.log_event("link down", peer=self.peers[point_code].name, reason=reason)
@@ -328,7 +324,8 @@
     # -- incoming calls
 
     def _handle_iam(self, now: float, group: TrunkGroup, message: IsupMessage) -> None:
-        if group.peer_code in self.ending_links:
+        link = self.links.get(group.peer_code)
+        if link is not None and link.ending:
             self.counts["set-ups of peers that left"] += 1
             return
         circuit = group.circuits[message.cic]
--- a/ospreybridge/core/changeover.py
+++ b/ospreybridge/core/changeover.py
@@ -40,6 +40,7 @@
         self.peer_has_switched = self.dialler = False
         self.hold_timer: ScheduledTimer | None = None
         self.closed = False
+        self.ending = False  # the peer has closed the connection that carries the link; some is unread
 
     # -- interface to the call server
 
@@ -112,6 +113,10 @@
 
     # -- end of associations
 
+    def association_ending(self, carrier: Carrier) -> None:
+        """The peer has closed the connection of one of the associations, of which some is still unread."""
+        self.ending = self.ending or carrier is self.current
+
     def association_ended(self, carrier: Carrier, reason: str) -> None:
         """Handles the end of one of the associations to this peer."""
         if self.closed:
--- a/ospreybridge/fronts/m3ua.py
+++ b/ospreybridge/fronts/m3ua.py
@@ -509,8 +509,8 @@
     def association_ending(self, association: Association) -> None:
         """The peer has closed an association's connection, of which some is still unread."""
         link = self.links.get(association.peer.point_code) if association.peer is not None else None
-        if link is not None and link.current is self.channels.get(id(association)):
-            self.call_server.link_ending(peer_of(association).point_code)
+        if link is not None:
+            link.association_ending(self.channels[id(association)])
 
     def _link_lost(self, point_code: int, reason: str) -> None:
         del self.links[point_code]
--- a/ospreybridge/lab/harness.py
+++ b/ospreybridge/lab/harness.py
@@ -105,6 +105,8 @@
 class LinkRecorder:
     """One link; `sent` holds the decoded ISUP messages that the call server sent on it, oldest first."""
 
+    ending = False
+
     def __init__(self, harness: Harness, point_code: int) -> None:
         self.harness, self.point_code = harness, point_code
         self.sent: deque[IsupMessage] = deque()
--- a/tests/test_clients_that_leave.py
+++ b/tests/test_clients_that_leave.py
@@ -158,7 +158,11 @@
         f.loop.run_until(lambda: False, 200.0)
         assert set_ups == [0] and not any(f.call_servers[n].last_ref for n in (1, 2, 3))
         assert f.call_servers[1].counts["set-ups of peers that left"] >= 60
-        assert not f.call_servers[1].ending_links  # the next link of this peer is served
+        callers.dial_enabled = True
+        f.loop.spawn(callers._run())
+        f.run_until(f.ready)  # the next link of this peer is served
+        f.call(1, 2, 91)
+        f.run_until(lambda: f.tally["in time"] == 1)
 
 
 def count_set_up(set_ups: list[int], message: IsupMessage) -> None:
