Move three decisions out of the platform's server to the modules that decide

Which reported call is released instead of restored is EstablishedCalls' to say, which idle connection is given back for another office is the pools', and whether a call may have taken effect is the call's. Goes too: a parameter of CallerReleases that nobody gave.

--- a/ospreybridge/access/calls.py
+++ b/ospreybridge/access/calls.py
@@ -60,10 +60,14 @@
     open_attempt: Attempt | None = None
     attempt_count: int = 0
     last_cause: int = 0  # release cause of the latest attempt
-    may_have_run: bool = False  # an attempt that was sent may have taken effect at its office
+    may_have_run: bool = False  # an attempt that has ended may have taken effect at its office
     # Offices that may have answered an attempt whose connection ended before the answer could be read.
     doubtful_offices: set[int] = field(default_factory=set)
 
+    def may_have_taken_effect(self) -> bool:
+        """Whether an attempt that was sent, open or ended, may have reached the called party."""
+        return self.may_have_run or (self.open_attempt is not None and self.open_attempt.connection_id > 0)
+
 
 @dataclass(slots=True, eq=False)
 class Client:
--- a/ospreybridge/access/established.py
+++ b/ospreybridge/access/established.py
@@ -14,6 +14,7 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
+from ospreybridge.access.offices import Office
 from ospreybridge.access.releases import MAX_REFUSED_REPORTS, CallerReleases, OfficeReleases, Releases
 from ospreybridge.signalling import causes
 
@@ -94,27 +95,32 @@
         for releases in (self.to_callers, self.refused_reports, self.to_offices):
             releases.expire(now)
 
-    def is_full(self) -> bool:
-        """Whether no further call may be restored."""
-        return len(self._calls) >= MAX_ESTABLISHED
-
     def add(self, call: EstablishedCall) -> None:
         """Records a call that an office answered or that its caller reports as established."""
         self._calls[call.uid] = call
         self._by_office.setdefault(call.office_id, {})[call.uid] = call
 
-    def may_predate(self, process_since: float, process_known_since: float) -> bool:
+    def refusal_cause(self, uid: str, office: Office | None, has_ended: bool) -> int | None:
+        """The cause with which a reported call is released instead of restored; None if it is restored.
+
+        `office`: where it is said to be established, if the list has it; `has_ended`: it is known to be over.
+        """
+        cause = self._early_releases.pop(uid, None)
+        if cause is None and (has_ended or office is None or len(self._calls) >= MAX_ESTABLISHED):
+            cause = causes.TEMPORARY_FAILURE
+        return cause
+
+    def may_predate(self, office: Office) -> bool:
         """Whether a restored call may have been answered by a process of its office before the present one.
 
         A restored call was established before this process started. An office's start that the process
         before this one knew of has ended the earlier calls already; one that it may not have known of ends
         them now.
         """
-        return process_since > self._started_at - UNKNOWN_STARTS_MS or process_known_since > self._started_at
-
-    def take_early_release(self, uid: str) -> int | None:
-        """The cause of an office's release that came before the caller named the call, if one did."""
-        return self._early_releases.pop(uid, None)
+        return (
+            office.process_since > self._started_at - UNKNOWN_STARTS_MS
+            or office.process_known_since > self._started_at
+        )
 
     def refuse_report(self, now: float, uid: str, cause: int, client_id: int) -> None:
         """Records the release of a reported call that isn't restored; it is sent to that client now."""
--- a/ospreybridge/access/pool.py
+++ b/ospreybridge/access/pool.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Iterable
 from random import Random
 
 from ospreybridge.access.budget import DialReason
@@ -276,3 +277,29 @@
         for connection in expired:
             connection.finished = False  # if it was, its office has not closed it: releases may be lost
         return [connection.id for connection in expired]
+
+
+def connection_to_give_back(
+    pools: Iterable[ConnectionPool], wanting: ConnectionPool
+) -> tuple[ConnectionPool, int] | None:
+    """The connection that was idle for longest, to be ended for the office that is `wanting` one.
+
+    None if all are in use, or if room is being made already.
+    """
+    others = [
+        (connection, pool)
+        for pool in pools
+        if pool is not wanting
+        for connection in pool.connections.values()
+    ]
+    if any(connection.finished for connection, _ in others):
+        return None
+    idle = [
+        (connection.idle_since, connection.id, pool)
+        for connection, pool in others
+        if not connection.attempts and not connection.retired
+    ]
+    if not idle:
+        return None
+    _, connection_id, pool = min(idle, key=lambda candidate: candidate[:2])
+    return pool, connection_id
--- a/ospreybridge/access/releases.py
+++ b/ospreybridge/access/releases.py
@@ -143,8 +143,8 @@
 class CallerReleases(Releases):
     """Releases towards callers."""
 
-    def __init__(self, max_unconfirmed: int = MAX_UNCONFIRMED) -> None:
-        super().__init__(max_unconfirmed)
+    def __init__(self) -> None:
+        super().__init__()
         self._in_order_of_sending: OrderedDict[str, Release] = OrderedDict()
 
     def sent(self, now: float, release: Release, connection_id: int) -> None:
--- a/ospreybridge/access/server.py
+++ b/ospreybridge/access/server.py
@@ -22,7 +22,7 @@
 from ospreybridge.access.established import EstablishedCall, EstablishedCalls
 from ospreybridge.access.office_messages import interpret_stop, parse_load
 from ospreybridge.access.offices import Office, OfficeList
-from ospreybridge.access.pool import ConnectionPool, OfficeConnection
+from ospreybridge.access.pool import ConnectionPool, OfficeConnection, connection_to_give_back
 from ospreybridge.access.recent import RecentCalls
 from ospreybridge.access.release_sender import ReleaseSender
 from ospreybridge.access.shutdown import ShutdownPhases
@@ -258,12 +258,8 @@
         or if there are too many calls.
         """
         self._mark_valid(now, client)
-        cause = self.established.take_early_release(uid)
-        if cause is None and self.recent_calls.contains(now, uid):
-            cause = RESET_CAUSE
         office = self.office_list.by_id.get(office_id)
-        if cause is None and (office is None or self.established.is_full()):
-            cause = RESET_CAUSE
+        cause = self.established.refusal_cause(uid, office, self.recent_calls.contains(now, uid))
         if cause is not None:
             self.established.refuse_report(now, uid, cause, client.connection_id)
             self._send(client.connection_id, Message(jsonl.STOP, uid, {}, cause))
@@ -271,9 +267,7 @@
         call = EstablishedCall(uid, office_id, client.connection_id)
         self.established.add(call)
         self.counts["told to stand"] += 1
-        if office is not None and self.established.may_predate(
-            office.process_since, office.process_known_since
-        ):
+        if office is not None and self.established.may_predate(office):
             self.counts["told to stand, lost by a start"] += 1
             self._report_end(now, self.established.lose(now, call), interface.Result.RESET)
             self.releases.send_new(now)
@@ -321,7 +315,7 @@
         self.admission.set_up_closed(call.body)
         call.stage, call.body = Stage.ENDED, None
         self.pending.pop(call.uid, None)
-        if call.may_have_run or (call.open_attempt is not None and call.open_attempt.connection_id):
+        if call.may_have_taken_effect():
             self.recent_calls.add(now, call.uid)
         client = self.clients.get(call.client_id)
         if client is not None:
@@ -916,21 +910,9 @@
 
     def _make_room(self, now: float, pool: ConnectionPool) -> None:
         """Gives back the connection to another office that was idle for longest, as all are in use."""
-        connections = [
-            (connection, other)
-            for other in self.pools.values()
-            if other is not pool
-            for connection in other.connections.values()
-        ]
-        if any(connection.finished for connection, _ in connections):
-            return  # room is being made already
-        idle = [
-            (connection.idle_since, connection.id, other)
-            for connection, other in connections
-            if not connection.attempts and not connection.retired
-        ]
-        if idle:
-            _, connection_id, other = min(idle, key=lambda candidate: candidate[:2])
+        given_back = connection_to_give_back(self.pools.values(), pool)
+        if given_back is not None:
+            other, connection_id = given_back
             other.finish_connection(now, connection_id)
             self._trace_connection("connection finished", other, connection_id, "for another office")
             self.transport.finish(connection_id)
