Share the tests' set-up message, flooding process and record of frames

The fields of a set-up stood in five test files, the process that floods and the record of handled frames twice each. No check changes.

--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -96,6 +96,19 @@
     return parse("config.json", config(**more))
 
 
+def set_up_message(uid: str, dest: int = 1, words: str = "", body: str = "an offer", **meta: Any) -> Message:
+    """A set-up as callers send it; `words` go behind its extras, `meta` replaces fields."""
+    fields = {
+        "class": "voice",
+        "left": "1500",
+        "tenant": "acme",
+        "key": "7f3a9c21e0b4d655",
+        "extras": f"dest:{dest};width:1;via:-1{words}",
+        **meta,
+    }
+    return Message(jsonl.LAUNCH, uid, fields, body=body)
+
+
 class Rig:
     """The server's Transport. Cell 0 is the own exchange; offices 11 and 12 (cells 1, 2) have 20 circuits."""
 
@@ -212,15 +225,7 @@
 
     def launch(self, connection_id: int, dest: int = 1, uid: str = "", words: str = "", **meta: Any) -> str:
         uid = uid or self.new_uid()
-        fields = {
-            "class": "voice",
-            "left": "1500",
-            "tenant": "acme",
-            "key": "7f3a9c21e0b4d655",
-            "extras": f"dest:{dest};width:1;via:-1{words}",
-            **meta,
-        }
-        self.client_sends(connection_id, Message(jsonl.LAUNCH, uid, fields, body="an offer"))
+        self.client_sends(connection_id, set_up_message(uid, dest, words, **meta))
         return uid
 
     def office_sends(
--- a/tests/test_clients_that_leave.py
+++ b/tests/test_clients_that_leave.py
@@ -14,21 +14,14 @@
 from ospreybridge.signalling.jsonl import Message
 from ospreybridge.standins.platform import CallerStandIn
 from tests.fleet import fleet
-from tests.platform_rig import SETTINGS, Rig
+from tests.platform_rig import SETTINGS, Rig, set_up_message
 from tests.test_access_sockets import World, world
 
 __all__ = ["world"]  # a fixture
 
 
 def set_up(uid: str, dest: int) -> bytes:
-    meta: dict[str, jsonl.Value] = {
-        "class": "voice",
-        "left": "1500",
-        "tenant": "acme",
-        "key": uid,
-        "extras": f"dest:{dest};width:1;via:-1",
-    }
-    return jsonl.encode(Message(jsonl.LAUNCH, uid, meta, body="an offer"))
+    return jsonl.encode(set_up_message(uid, dest, key=uid))
 
 
 def leave(port: int, data: bytes) -> None:
--- a/tests/test_memory_limits.py
+++ b/tests/test_memory_limits.py
@@ -13,7 +13,7 @@
 from ospreybridge.signalling import causes, jsonl, m3ua
 from ospreybridge.signalling.jsonl import MAX_LINE_BYTES, Message
 from ospreybridge.standins.platform import CallerStandIn
-from tests.platform_rig import Rig
+from tests.platform_rig import Rig, set_up_message
 from tests.served import peak_memory_mb, served_exchange
 from tests.test_access_sockets import World, process, world
 
@@ -29,16 +29,13 @@
     return jsonl.encode(Message(jsonl.CHECK, f"{number:016x}"))
 
 
+def large_set_up(uid: str) -> Message:
+    return set_up_message(uid, body="x" * 15_500, left="3000")
+
+
 def large_set_ups(client: int) -> bytes:
-    meta: dict[str, jsonl.Value] = {
-        "class": "voice",
-        "left": "3000",
-        "tenant": "acme",
-        "key": "7f3a",
-        "extras": "dest:1;width:1;via:-1",
-    }
     uids = [f"{client:08x}{number:08x}" for number in range(8)]
-    return b"".join(jsonl.encode(Message(jsonl.LAUNCH, uid, meta, body="x" * 15_500)) for uid in uids)
+    return b"".join(jsonl.encode(large_set_up(uid)) for uid in uids)
 
 
 def many_fields(client: int) -> bytes:
@@ -124,9 +121,7 @@
     for number in range(300):
         uid = rig.new_uid()
         uids.append(uid)
-        message = jsonl.decode(large_set_ups(0).splitlines()[0])
-        message.uid = uid
-        rig.client_sends(clients[number % 3], message)
+        rig.client_sends(clients[number % 3], large_set_up(uid))
     refused = [uid for uid in uids if rig.messages_of(uid, kind=jsonl.STOP)]
     assert 100 < len(refused) < 200 and admission.body_bytes <= admission.max_body_bytes
     assert {message.reason for uid in refused for message in rig.messages_of(uid, kind=jsonl.STOP)} == {
--- a/tests/test_message_floods.py
+++ b/tests/test_message_floods.py
@@ -21,7 +21,7 @@
 from ospreybridge.signalling.jsonl import Message
 from ospreybridge.standins.platform import CallerStandIn
 from tests.fleet import fleet
-from tests.platform_rig import Rig
+from tests.platform_rig import Rig, set_up_message
 from tests.served import peak_memory_mb, served_exchange
 from tests.test_access_sockets import World, process, world
 
@@ -87,15 +87,26 @@
     server.client_line = recording
 
 
+def record_frames(association: Any) -> list[bytes]:
+    """The frames that the association handles from now on."""
+    handled: list[bytes] = []
+    receive = association.receive
+
+    def recording(frame: bytes) -> None:
+        handled.append(frame)
+        receive(frame)
+
+    association.receive = recording
+    return handled
+
+
 @pytest.mark.parametrize("over_tls", [False, True])
 def test_frames_of_a_flooding_peer_are_handled_in_turns(tmp_path: Path, over_tls: bool) -> None:
     """Guards against calls that wait because a peer, known or not, has sent much at once."""
     with fleet(tmp_path, tls_options="" if over_tls else None) as f:
         front = f.fronts[1]
         channel = f.channel(1, 2)
-        handled: list[int] = []
-        receive = channel.association.receive
-        channel.association.receive = lambda frame: (handled.append(len(frame)), receive(frame))[1]  # type: ignore[method-assign, func-returns-value]
+        handled = record_frames(channel.association)
         far = f.channel(2, 1)
         for _ in range(2_000):
             far.stream.write(m3ua.encode(m3ua.BEAT))
@@ -111,9 +122,7 @@
     """Guards against frames handled in a later turn, after their association was closed meanwhile."""
     with fleet(tmp_path) as f:
         channel, far = f.channel(1, 2), f.channel(2, 1)
-        handled: list[int] = []
-        receive = channel.association.receive
-        channel.association.receive = lambda frame: (handled.append(len(frame)), receive(frame))[1]  # type: ignore[method-assign, func-returns-value]
+        handled = record_frames(channel.association)
         far.stream.write(m3ua.encode(m3ua.BEAT) * 500)
         f.run_until(lambda: bool(handled))
         count = len(handled)
@@ -160,14 +169,7 @@
 
     def set_up(self, number: int, words: str = "", left: str = "1500", dest: int = 1) -> Message:
         number += self.first
-        meta: dict[str, jsonl.Value] = {
-            "class": "voice",
-            "left": left,
-            "tenant": "acme",
-            "key": f"{number:x}",
-            "extras": f"dest:{dest};width:1;via:-1{words}",
-        }
-        return Message(jsonl.LAUNCH, f"f{number:015x}", meta, body="an offer")
+        return set_up_message(f"f{number:015x}", dest, words, left=left, key=f"{number:x}")
 
     def unsound(self, number: int) -> Message:
         return self.set_up(number, left="-1")
@@ -194,8 +196,7 @@
     client = rig.connect_client()
     sizes = []
     for round_number in range(3):
-        count = FLOOD_MESSAGES
-        flood(rig, client, count, getattr(FloodMessages(round_number * 100_000), kind))
+        flood(rig, client, FLOOD_MESSAGES, getattr(FloodMessages(round_number * 100_000), kind))
         rig.advance(20_000.0)
         rig.sent_messages.clear()
         rig.trace_events.clear()
@@ -222,11 +223,9 @@
 
 
 @contextlib.contextmanager
-def flooding_process(port: int, kind: str) -> Iterator[None]:
-    arguments = (port, kind)
-    child = multiprocessing.get_context("fork").Process(
-        target=send_at_full_speed, args=arguments, daemon=True
-    )
+def other_process(target: Callable[..., None], *arguments: object) -> Iterator[None]:
+    """Runs a function that never returns in a process of its own."""
+    child = multiprocessing.get_context("fork").Process(target=target, args=arguments, daemon=True)
     child.start()
     try:
         yield
@@ -242,7 +241,7 @@
     """Guards against answers late or never, and memory over its limit, under one client's flood."""
     with process(world, tmp_path / "config.json") as (server, port):
         sound = CallerStandIn(world.loop, port)
-        with flooding_process(port, kind):
+        with other_process(send_at_full_speed, port, kind):
             sent_at: dict[str, float] = {}
             end = world.loop.now + 3_000.0
             while world.loop.now < end:
@@ -308,19 +307,12 @@
     """Guards against peers answered late or never, and memory that grows, under one peer's flood."""
     with served_exchange(tmp_path, over_tls) as exchange:
         exchange.assert_served()
-        flooding = multiprocessing.get_context("fork").Process(
-            target=send_frames_at_full_speed, args=(exchange.port, kind, exchange.context), daemon=True
-        )
-        flooding.start()
-        try:
-            peaks = []
+        peaks = []
+        with other_process(send_frames_at_full_speed, exchange.port, kind, exchange.context):
             for _ in range(3):
                 end = time.monotonic() + 1.0
                 while time.monotonic() < end:
                     exchange.assert_served()
                 peaks.append(peak_memory_mb(exchange.server.pid))
-        finally:
-            flooding.kill()
-            flooding.join()
         print(f"{kind}, TLS {over_tls}: {[round(peak, 1) for peak in peaks]} MB")
         assert peaks[2] - peaks[1] <= MAX_GROWTH_MB and peaks[2] < PLATFORM_MEMORY_MB
--- a/tests/test_release_bursts.py
+++ b/tests/test_release_bursts.py
@@ -14,7 +14,7 @@
 from ospreybridge.signalling import causes, jsonl
 from ospreybridge.signalling.jsonl import Message
 from ospreybridge.standins.platform import CallerStandIn
-from tests.platform_rig import Rig
+from tests.platform_rig import Rig, set_up_message
 from tests.test_access_sockets import World, world
 
 __all__ = ["world"]  # a fixture
@@ -160,13 +160,7 @@
 
 def unknown_report(number: int, index: int) -> bytes:
     """A set-up for a call that is said to stand at an office which no list has."""
-    meta: dict[str, jsonl.Value] = {
-        "class": "voice",
-        "tenant": "acme",
-        "key": "7f3a",
-        "extras": f"dest:1;width:1;via:-1{UNKNOWN_OFFICE}",
-    }
-    return jsonl.encode(Message(jsonl.LAUNCH, f"bad{number:05x}{index:08x}", meta, body="an offer"))
+    return jsonl.encode(set_up_message(f"bad{number:05x}{index:08x}", words=UNKNOWN_OFFICE))
 
 
 def stream_with_peer(max_unsent_bytes: int, buffer_bytes: int) -> tuple[tcp.Stream, socket.socket]:
